--- a/admit/budget.go
+++ b/admit/budget.go
@@ -2,7 +2,7 @@
 
 import "sync"
 
-// RetryBudget bounds attempts beyond the first to a tenth of the requests; the zero value works.
+// RetryBudget bounds attempts beyond the first to a share of the requests; the zero value allows a tenth.
 // It is safe for use by many goroutines.
 type RetryBudget struct {
 	mu sync.Mutex
--- /dev/null
+++ b/chain/chain.go
@@ -0,0 +1,235 @@
+package chain
+
+import (
+	"slices"
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/fleet"
+)
+
+const (
+	// crossCost is added where a path enters another failure domain; activations share one slow pipe for each pair of domains.
+	crossCost = 3 * time.Second
+	// awayCost is added if the first part is outside this VM's failure domain; the answer then crosses domains.
+	awayCost = 600 * time.Millisecond
+	// leavingCost keeps work away from servers that leave, unless nothing else covers a layer.
+	leavingCost = 20 * time.Second
+	// pausedCost keeps work away from servers that have just refused some.
+	pausedCost = 2 * time.Second
+	// fullCost is added for a part whose memory the running requests would exceed.
+	fullCost = 4 * time.Second
+	// hopTime is the network and queueing time of one part for one pass.
+	hopTime = 500 * time.Microsecond
+	// jitter is the largest random share added to a part's cost, so that VMs with the same view do not choose alike.
+	jitter = 0.2
+	// drainMargin is kept between the last new work for a leaving server and the end of its drain time.
+	drainMargin = 700 * time.Millisecond
+)
+
+type (
+	// Ask describes the request that needs a path.
+	Ask struct {
+		Service      teaselstream.ServiceID
+		PromptTokens int
+		AnswerTokens int
+		// Avoid holds servers that must not be used.
+		Avoid map[teaselstream.ServerID]bool
+		// First is the server that must run the first part, or empty.
+		First teaselstream.ServerID
+		// Within restricts the path to one failure domain, or is empty.
+		Within teaselstream.DomainID
+	}
+
+	// Planner chooses paths; its zero value uses no servers that leave.
+	Planner struct {
+		// DrainTime is how long a leaving server takes new work at most.
+		DrainTime time.Duration
+		// Rand draws the jitter; nil means none.
+		Rand teaselstream.Rand
+	}
+
+	// state is the cheapest way to reach a layer boundary in a failure domain.
+	state struct {
+		cost   time.Duration
+		member *fleet.Member
+		// from is the boundary index and the domain index that the state was reached from.
+		fromBoundary int
+		fromDomain   int
+		reached      bool
+	}
+
+	search struct {
+		planner    *Planner
+		now        time.Time
+		view       *fleet.View
+		engine     *teaselstream.EngineSpec
+		ask        Ask
+		boundaries []teaselstream.Layer
+		domains    []teaselstream.DomainID
+		states     [][]state
+	}
+)
+
+// Plan returns the cheapest path and its estimated time for one step; ok is false if no path covers all layers.
+func (p *Planner) Plan(now time.Time, v *fleet.View, a Ask) (path teaselstream.Path, step time.Duration, ok bool) {
+	if v == nil || v.Routing == nil || v.Routing.Pools[a.Service] == nil || v.Routing.Pools[a.Service].Engine == nil {
+		return nil, 0, false
+	}
+	s := &search{planner: p, now: now, view: v, engine: v.Routing.Pools[a.Service].Engine, ask: a}
+	members := s.usable()
+	s.index(members)
+	for i := range s.boundaries {
+		for _, m := range members {
+			if from := s.boundaries[i]; m.Holds.Contains(from) {
+				s.relax(i, m)
+			}
+		}
+	}
+	return s.best()
+}
+
+func (s *search) usable() []*fleet.Member {
+	var out []*fleet.Member
+	for _, m := range s.view.Pools[s.ask.Service] {
+		if m.Holds.Empty() || m.Holds.To > s.engine.Layers || s.ask.Avoid[m.ID] || m.State == fleet.Down {
+			continue
+		}
+		if m.State == fleet.Leaving && s.now.Sub(m.LeavingSince) > s.planner.DrainTime-drainMargin {
+			continue
+		}
+		if s.ask.Within != "" && m.Domain != s.ask.Within {
+			continue
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+func (s *search) index(members []*fleet.Member) {
+	s.boundaries = []teaselstream.Layer{0, s.engine.Layers}
+	s.domains = []teaselstream.DomainID{""}
+	for _, m := range members {
+		s.boundaries = append(s.boundaries, m.Holds.From, m.Holds.To)
+		if !slices.Contains(s.domains, m.Domain) {
+			s.domains = append(s.domains, m.Domain)
+		}
+	}
+	slices.Sort(s.boundaries)
+	s.boundaries = slices.Compact(s.boundaries)
+	s.states = make([][]state, len(s.boundaries))
+	for i := range s.states {
+		s.states[i] = make([]state, len(s.domains))
+	}
+	s.states[0][0].reached = true
+}
+
+// relax extends every state at a boundary by a member that runs on to the end of its range.
+func (s *search) relax(i int, m *fleet.Member) {
+	first := i == 0
+	if first && s.ask.First != "" && m.ID != s.ask.First {
+		return
+	}
+	end, _ := slices.BinarySearch(s.boundaries, m.Holds.To)
+	domain := slices.Index(s.domains, m.Domain)
+	cost := s.cost(m, teaselstream.LayerRange{From: s.boundaries[i], To: m.Holds.To})
+	for d := range s.states[i] {
+		at := s.states[i][d]
+		if !at.reached {
+			continue
+		}
+		total := at.cost + cost
+		switch {
+		case first && m.Domain != s.view.Domain:
+			total += awayCost
+		case !first && d != domain:
+			total += crossCost
+		}
+		if to := &s.states[end][domain]; !to.reached || total < to.cost {
+			*to = state{cost: total, member: m, fromBoundary: i, fromDomain: d, reached: true}
+		}
+	}
+}
+
+// cost estimates the request's time on one part.
+func (s *search) cost(m *fleet.Member, r teaselstream.LayerRange) time.Duration {
+	answer := max(s.ask.AnswerTokens, 1)
+	stride := max(s.engine.Stride, 1)
+	busy := s.step(m, r)*time.Duration(answer) + hopTime*time.Duration(answer/stride+1) + s.read(m, r)
+	load := s.load(m)
+	factor := 1 + 3*load*load
+	if s.planner.Rand != nil {
+		factor *= 1 + jitter*s.planner.Rand.Float64()
+	}
+	total := time.Duration(float64(busy) * factor)
+	if load > 1 {
+		total += time.Duration(float64(fullCost) * load)
+	}
+	if m.State == fleet.Leaving {
+		total += leavingCost
+	}
+	if s.now.Before(m.PausedUntil) {
+		total += pausedCost
+	}
+	return total
+}
+
+func (s *search) share(r teaselstream.LayerRange) float64 {
+	return float64(r.Len()) / float64(max(s.engine.Layers, 1))
+}
+
+// step returns the time of one token on a part.
+func (s *search) step(m *fleet.Member, r teaselstream.LayerRange) time.Duration {
+	pace := s.engine.Kinds[m.Accelerator].Pace
+	return time.Duration(float64(s.engine.Step) * s.share(r) * max(pace, 1) * max(m.Slowdown, 1))
+}
+
+// read returns the time to read the prompt on a part.
+func (s *search) read(m *fleet.Member, r teaselstream.LayerRange) time.Duration {
+	if s.engine.ReadPerSecond <= 0 {
+		return 0
+	}
+	seconds := float64(s.ask.PromptTokens) / float64(s.engine.ReadPerSecond)
+	pace := s.engine.Kinds[m.Accelerator].ReadPace
+	return time.Duration(seconds * s.share(r) * max(pace, 1) * max(m.Slowdown, 1) * float64(time.Second))
+}
+
+// load estimates the share of a part's request memory in use with this request, from this VM's own
+// requests and the number of VMs that send to the same failure domain.
+func (s *search) load(m *fleet.Member) float64 {
+	capacity := s.engine.CacheTokens(m.Accelerator, m.Holds.Len())
+	if capacity <= 0 {
+		return 2
+	}
+	own := float64(m.Use.Tokens.Load()) * float64(s.view.DomainVMs(m.Domain))
+	return (own + float64(s.ask.PromptTokens+s.ask.AnswerTokens)) / float64(capacity)
+}
+
+func (s *search) best() (teaselstream.Path, time.Duration, bool) {
+	last, domain := len(s.boundaries)-1, -1
+	if s.boundaries[last] != s.engine.Layers {
+		return nil, 0, false
+	}
+	for d, x := range s.states[last] {
+		if x.reached && last > 0 && (domain < 0 || x.cost < s.states[last][domain].cost) {
+			domain = d
+		}
+	}
+	if domain < 0 {
+		return nil, 0, false
+	}
+	var path teaselstream.Path
+	var step time.Duration
+	for i, d := last, domain; i > 0; {
+		x := s.states[i][d]
+		r := teaselstream.LayerRange{From: s.boundaries[x.fromBoundary], To: s.boundaries[i]}
+		path = append(path, teaselstream.Part{Server: x.member.ID, Address: x.member.Address, Range: r})
+		step += s.step(x.member, r)
+		i, d = x.fromBoundary, x.fromDomain
+	}
+	slices.Reverse(path)
+	return path, step, len(path) <= MaxParts
+}
+
+// MaxParts is the longest path that the engines accept.
+const MaxParts = 32
--- /dev/null
+++ b/cmd/gate/serve.go
@@ -0,0 +1,242 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/admit"
+	"github.com/teaselstream/teaselstream/chain"
+	"github.com/teaselstream/teaselstream/config"
+	"github.com/teaselstream/teaselstream/drain"
+	"github.com/teaselstream/teaselstream/fleet"
+	"github.com/teaselstream/teaselstream/meter"
+	"github.com/teaselstream/teaselstream/pick"
+	"github.com/teaselstream/teaselstream/platform"
+	"github.com/teaselstream/teaselstream/proxy"
+	"github.com/teaselstream/teaselstream/watch"
+)
+
+const (
+	// balancerDelay covers two missed readiness checks, one a second, and the connections opened meanwhile.
+	balancerDelay = 2500 * time.Millisecond
+	// exitMargin is kept between the last cut request and the platform's SIGKILL.
+	exitMargin = 300 * time.Millisecond
+	// stopTick is the period of the stop sequence.
+	stopTick = 50 * time.Millisecond
+	// sweepPeriod is the time between looks for idle connections to servers.
+	sweepPeriod = time.Second
+	// headerTimeout bounds a readiness or metrics request.
+	headerTimeout = 2 * time.Second
+)
+
+// process holds the parts of a running VM.
+type process struct {
+	file     string
+	settings atomic.Pointer[config.GateSettings]
+	log      *slog.Logger
+	store    *platform.Store
+	budget   admit.WindowBudget
+	control  *control
+	handler  *proxy.Handler
+	server   *proxy.Server
+	meter    *meter.Meter
+	stopping atomic.Bool
+}
+
+// serveUntil runs the VM until ctx ends, then stops without cutting requests in flight.
+func serveUntil(ctx context.Context, file string, settings config.GateSettings, log *slog.Logger) error {
+	m, err := meter.New(ctx, meter.Options{VM: settings.VM.Name})
+	if err != nil {
+		return fmt.Errorf("start metrics: %w", err)
+	}
+	p := &process{file: file, log: log, store: &platform.Store{}, meter: m}
+	p.assemble(settings)
+	p.apply(settings)
+	background, end := context.WithCancel(context.Background())
+	defer end()
+	callers, err := net.Listen("tcp", settings.Listen.Callers)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	if err := p.serveReady(settings); err != nil {
+		return errors.Join(err, callers.Close())
+	}
+	registered, unregister := context.WithCancel(background)
+	defer unregister()
+	go p.control.run(background)
+	go p.follower().Run(background)
+	go p.registrar(settings).Run(registered)
+	go p.reload(background)
+	go p.sweep(background)
+	failed := make(chan error, 1)
+	go func() { failed <- p.server.Run(callers) }()
+	log.Info("Serving", "callers", settings.Listen.Callers, "ready", settings.Listen.Ready, "store", settings.Store.Addresses)
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	log.Info("Stopping", "active", p.server.Active())
+	unregister()
+	p.stop(callers)
+	return nil
+}
+
+func (p *process) assemble(settings config.GateSettings) {
+	random := &lockedRand{}
+	planner := &chain.Planner{DrainTime: settings.Bounds.DrainTime, Rand: random}
+	p.control = newControl(settings, p.log)
+	p.handler = &proxy.Handler{
+		View: p.control.current, Dialect: platform.Dialect{}, Replicas: &platform.Replicas{}, Planner: planner,
+		Balancer: &pick.Balancer{Rand: random}, Budget: &p.budget, Rand: random, Meter: p.meter, Log: p.log, Post: p.control.post,
+	}
+	p.control.handler = p.handler
+	p.control.published = p.shareBudget
+	p.server = &proxy.Server{Serve: p.handler.Serve, Limits: p.limits, Log: p.log}
+}
+
+func (p *process) limits() teaselstream.EdgeLimits {
+	v := p.control.current()
+	if v.Routing == nil {
+		return teaselstream.EdgeLimits{}
+	}
+	return v.Routing.Limits
+}
+
+// apply takes over settings that may change while the process runs.
+func (p *process) apply(settings config.GateSettings) {
+	p.settings.Store(&settings)
+	p.store.SetAddress(settings.Store.Addresses[0])
+	p.shareBudget(p.control.current())
+}
+
+// shareBudget gives this VM its part of the retries that all VMs share.
+func (p *process) shareBudget(v *fleet.View) {
+	b := p.settings.Load().Bounds
+	p.budget.Set(b.RetryRatio, b.RetrySlack/float64(max(len(v.Peers), 1)), b.RetryWindow)
+}
+
+func (p *process) follower() *watch.Follower {
+	return &watch.Follower{
+		Directory: p.store, RoutingKey: platform.RoutingKey, ReplicaPrefix: platform.ReplicaPrefix,
+		DecodeRouting: platform.DecodeRouting, DecodeReplica: platform.DecodeReplica,
+		Post: p.control.post, Rand: &lockedRand{}, Log: p.log,
+	}
+}
+
+func (p *process) registrar(settings config.GateSettings) *watch.Registrar {
+	return &watch.Registrar{
+		Directory: p.store, Self: fleet.Peer{Name: settings.VM.Name, Domain: settings.VM.Domain}, Rand: &lockedRand{}, Log: p.log,
+	}
+}
+
+// ready reports whether the VM takes new connections: it needs a configuration and must not be stopping.
+func (p *process) ready() bool {
+	return !p.stopping.Load() && p.control.current().Routing != nil
+}
+
+func (p *process) serveReady(settings config.GateSettings) error {
+	ready := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !p.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	if err := p.listen(settings.Listen.Ready, ready); err != nil {
+		return fmt.Errorf("listen for readiness: %w", err)
+	}
+	if settings.Listen.Metrics == "" {
+		return nil
+	}
+	if err := p.listen(settings.Listen.Metrics, p.meter.Handler()); err != nil {
+		return fmt.Errorf("listen for metrics: %w", err)
+	}
+	return nil
+}
+
+func (p *process) listen(address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	go func() {
+		if err := s.Serve(l); err != nil {
+			p.log.Error("ListenerFailed", "address", address, "error", err)
+		}
+	}()
+	return nil
+}
+
+// reload reads the settings again on SIGHUP, and keeps the old ones if the new ones are faulty.
+func (p *process) reload(ctx context.Context) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		settings, err := config.LoadGate(p.file)
+		if err != nil {
+			p.log.Error("ReloadFailed", "error", err)
+			continue
+		}
+		p.apply(settings)
+		p.log.Info("Reloaded", "store", settings.Store.Addresses)
+	}
+}
+
+func (p *process) sweep(ctx context.Context) {
+	t := time.NewTicker(sweepPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			p.handler.Sweep(now)
+		}
+	}
+}
+
+// stop runs the sequence of a planned stop.
+func (p *process) stop(callers net.Listener) {
+	b := p.settings.Load().Bounds
+	d := drain.New(drain.Config{
+		VM: p.settings.Load().VM.Name, Delay: min(balancerDelay, b.GraceTime/2), Timeout: b.GraceTime - exitMargin,
+	})
+	cmds := d.Update(time.Now(), drain.Stop{})
+	t := time.NewTicker(stopTick)
+	defer t.Stop()
+	for {
+		for _, c := range cmds {
+			switch c.(type) {
+			case drain.FailReadiness:
+				p.stopping.Store(true)
+				p.server.Drain()
+			case drain.CloseListeners:
+				p.log.Info("ListenerClosed", "active", p.server.Active())
+				if err := callers.Close(); err != nil {
+					p.log.Warn("CloseFailed", "error", err)
+				}
+				p.server.CloseIdle()
+			case drain.Exit:
+				return
+			}
+		}
+		now := <-t.C
+		cmds = d.Update(now, teaselstream.Tick{})
+		cmds = append(cmds, d.Update(now, drain.InFlight{Calls: p.server.Active()})...)
+	}
+}
--- a/config/load.go
+++ b/config/load.go
@@ -9,6 +9,9 @@
 	"gopkg.in/ini.v1"
 )
 
+// iniOptions accepts "Key = value" lines only; the reader reports what the library passes over.
+var iniOptions = ini.LoadOptions{KeyValueDelimiters: "=", SkipUnrecognizableLines: true, IgnoreInlineComment: true}
+
 // Load reads and checks a settings file; its error lists every fault.
 //
 // Secrets come from a file (SecretFile, relative to the settings file) or an
@@ -23,7 +26,7 @@
 
 func parse(file string, data []byte, lookup func(string) (string, bool)) (Settings, error) {
 	r := newReader(file, filepath.Dir(file), data, lookup)
-	f, err := ini.LoadSources(ini.LoadOptions{KeyValueDelimiters: "=", SkipUnrecognizableLines: true, IgnoreInlineComment: true}, data)
+	f, err := ini.LoadSources(iniOptions, data)
 	if err != nil {
 		return Settings{}, fmt.Errorf("parse settings %s: %w", file, err)
 	}
--- /dev/null
+++ b/cover/survey.go
@@ -0,0 +1,353 @@
+package cover
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/fleet"
+)
+
+type (
+	// survey is one domain's state at one moment.
+	survey struct {
+		decider *Decider
+		now     time.Time
+		engine  *teaselstream.EngineSpec
+		domain  teaselstream.DomainID
+		// live are the servers that answer and stay, and doubtful those that have only just fallen silent.
+		live     []*fleet.Member
+		doubtful []*fleet.Member
+		leaving  []*fleet.Member
+		down     int
+		copies   int
+		// held counts the holders of each layer that stay, with ranges being loaded.
+		held []int
+		// ready counts the holders of each layer that serve now.
+		ready []int
+	}
+)
+
+func (d *Decider) survey(now time.Time, e *teaselstream.EngineSpec, members []*fleet.Member, domain teaselstream.DomainID) *survey {
+	s := &survey{decider: d, now: now, engine: e, domain: domain, held: make([]int, e.Layers), ready: make([]int, e.Layers)}
+	for _, m := range members {
+		if m.Domain != domain || e.Kinds[m.Accelerator].Memory == 0 {
+			continue
+		}
+		switch {
+		case m.State == fleet.Down:
+			s.down++
+			if now.Sub(m.DownSince) < doubtTime && m.LeavingSince.IsZero() {
+				s.doubtful = append(s.doubtful, m)
+			}
+		case m.State == fleet.Leaving:
+			s.leaving = append(s.leaving, m)
+		default:
+			s.live = append(s.live, m)
+		}
+	}
+	for _, m := range s.live {
+		s.count(s.ready, m.Holds, 1)
+		s.count(s.held, s.future(m), 1)
+	}
+	s.copies = copies(e, s.live)
+	for id := range d.empty {
+		if !slices.ContainsFunc(members, func(m *fleet.Member) bool { return m.ID == id && m.Holds.Empty() }) {
+			delete(d.empty, id)
+		}
+	}
+	return s
+}
+
+// future returns the range that a server holds once its pending order is done.
+func (s *survey) future(m *fleet.Member) teaselstream.LayerRange {
+	if o := s.decider.orders[m.ID]; o != nil && o.until.IsZero() {
+		return o.target
+	}
+	return m.Holds
+}
+
+func (s *survey) count(layers []int, r teaselstream.LayerRange, n int) {
+	for l := max(r.From, 0); l < min(r.To, s.engine.Layers); l++ {
+		layers[l] += n
+	}
+}
+
+// free reports whether a server has no order in progress.
+func (s *survey) free(m *fleet.Member) bool {
+	_, ok := s.decider.orders[m.ID]
+	return !ok
+}
+
+// wants returns the orders that the domain needs now.
+func (s *survey) wants() []Hold {
+	if len(s.live) == 0 || s.copies == 0 || float64(s.down) > maxDown*float64(s.down+len(s.live)) {
+		return nil
+	}
+	if s.blank() {
+		return s.first()
+	}
+	var out []Hold
+	for range s.live {
+		h, ok := s.next()
+		if !ok {
+			break
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
+// blank reports whether no server of the domain holds or loads any layer.
+func (s *survey) blank() bool {
+	return !slices.ContainsFunc(s.held, func(n int) bool { return n > 0 }) && len(s.leaving) == 0 && len(s.doubtful) == 0
+}
+
+func (s *survey) first() []Hold {
+	ranges := layout(s.engine, s.live)
+	var out []Hold
+	for _, m := range s.live {
+		if r, ok := ranges[m.ID]; ok && s.free(m) {
+			out = append(out, hold(m, r, "first layout"))
+		}
+	}
+	return out
+}
+
+func hold(m *fleet.Member, r teaselstream.LayerRange, reason string) Hold {
+	return Hold{Server: m.ID, Address: m.Address, Incarnation: m.Incarnation, Holds: m.Holds, Range: r, Reason: reason}
+}
+
+// next returns the most urgent order and counts it as given.
+func (s *survey) next() (Hold, bool) {
+	if h, ok := s.fillEmpty(); ok {
+		return h, true
+	}
+	gap, ok := s.gap()
+	if !ok {
+		return Hold{}, false
+	}
+	if h, ok := s.extend(gap); ok {
+		return h, true
+	}
+	return s.move(gap)
+}
+
+// gap returns the longest run of layers that nobody will hold; a server that is only doubtful still counts.
+func (s *survey) gap() (teaselstream.LayerRange, bool) {
+	held := slices.Clone(s.held)
+	for _, m := range s.doubtful {
+		s.count(held, m.Holds, 1)
+	}
+	var best, run teaselstream.LayerRange
+	for l := teaselstream.Layer(0); l <= s.engine.Layers; l++ {
+		if l < s.engine.Layers && held[l] == 0 {
+			run.To = l + 1
+			continue
+		}
+		if run.Len() > best.Len() {
+			best = run
+		}
+		run = teaselstream.LayerRange{From: l + 1, To: l + 1}
+	}
+	return best, !best.Empty()
+}
+
+// fillEmpty gives an empty server the window of layers that gains most.
+func (s *survey) fillEmpty() (Hold, bool) {
+	_, hasGap := s.gap()
+	for _, m := range s.live {
+		if !s.nearlyEmpty(m) || !s.free(m) {
+			continue
+		}
+		since, ok := s.decider.empty[m.ID]
+		if !ok {
+			since = s.now
+			s.decider.empty[m.ID] = since
+		}
+		short := slices.Min(s.held) < s.copies
+		if !hasGap && !short && s.now.Sub(since) < idleTime {
+			continue
+		}
+		r := s.window(m)
+		if r.Empty() {
+			continue
+		}
+		s.give(m, r)
+		return hold(m, r, "empty server"), true
+	}
+	return Hold{}, false
+}
+
+// nearlyEmpty reports whether a server holds nothing, or only the one layer that a move left it with.
+func (s *survey) nearlyEmpty(m *fleet.Member) bool {
+	return m.Holds.Empty() || m.Holds.Len() == 1 && s.usualLayers(m) > 2 && s.spare(m)
+}
+
+func (s *survey) give(m *fleet.Member, r teaselstream.LayerRange) {
+	s.count(s.held, s.future(m), -1)
+	s.decider.orders[m.ID] = &order{target: r, at: s.now}
+	s.count(s.held, r, 1)
+}
+
+// window returns the range for an empty server: as many layers as its memory takes at the domain's usual
+// ratio, or a few more to close a hole, where the holders are fewest.
+func (s *survey) window(m *fleet.Member) teaselstream.LayerRange {
+	usual := s.usualLayers(m)
+	most := s.engine.MaxLayers(m.Accelerator, minTokens) - m.Holds.Len()
+	var best teaselstream.LayerRange
+	bestScore := 0.0
+	for n := max(usual-2, 1); n <= min(usual+3, most); n++ {
+		for from := teaselstream.Layer(0); from+teaselstream.Layer(n) <= s.engine.Layers; from++ {
+			r := teaselstream.LayerRange{From: from, To: from + teaselstream.Layer(n)}
+			score := s.gain(r) - float64(max(n-usual, 0))*overPenalty
+			if score > bestScore {
+				best, bestScore = r, score
+			}
+		}
+	}
+	return best
+}
+
+const (
+	// holeGain, shortGain and spareGain weigh a layer that nobody holds, one with too few holders, and any other.
+	holeGain  = 100.0
+	shortGain = 10.0
+	spareGain = 1.0
+	// overPenalty is the price of a layer beyond the usual number, which takes memory from requests.
+	overPenalty = 4.0
+	// alignGain rewards a window that begins or ends where another server's does, which keeps paths short.
+	alignGain = 0.5
+)
+
+func (s *survey) gain(r teaselstream.LayerRange) float64 {
+	total := 0.0
+	for l := r.From; l < r.To; l++ {
+		switch n := s.held[l]; {
+		case n == 0:
+			total += holeGain
+		case n < s.copies:
+			total += shortGain / float64(n)
+		default:
+			total += spareGain / float64(n)
+		}
+	}
+	for _, m := range s.live {
+		f := s.future(m)
+		if f.Empty() {
+			continue
+		}
+		if f.To == r.From || f.From == r.To {
+			total += alignGain
+		}
+	}
+	return total
+}
+
+func (s *survey) usualLayers(m *fleet.Member) int {
+	var memory teaselstream.Bytes
+	for _, x := range s.live {
+		memory += s.engine.Kinds[x.Accelerator].Memory
+	}
+	share := float64(s.engine.Kinds[m.Accelerator].Memory) / float64(max(memory, 1))
+	n := int(share*float64(s.copies)*float64(s.engine.Layers) + 0.5)
+	return max(1, min(n, s.engine.MaxLayers(m.Accelerator, minTokens)))
+}
+
+// extend lets a neighbour of the gap grow into it without giving anything up.
+func (s *survey) extend(gap teaselstream.LayerRange) (Hold, bool) {
+	var best *fleet.Member
+	var bestRange teaselstream.LayerRange
+	bestGained, bestTokens := 0, 0
+	for _, m := range s.live {
+		if m.Holds.Empty() || !s.free(m) {
+			continue
+		}
+		r, ok := s.grown(m, gap)
+		if !ok {
+			continue
+		}
+		gained, tokens := r.Len()-m.Holds.Len(), s.engine.CacheTokens(m.Accelerator, r.Len())
+		if gained > bestGained || gained == bestGained && tokens > bestTokens {
+			best, bestRange, bestGained, bestTokens = m, r, gained, tokens
+		}
+	}
+	if best == nil {
+		return Hold{}, false
+	}
+	s.give(best, bestRange)
+	return hold(best, bestRange, "take over lost layers"), true
+}
+
+// grown returns a member's range with as much of the gap as its memory takes, if the range touches the gap.
+func (s *survey) grown(m *fleet.Member, gap teaselstream.LayerRange) (teaselstream.LayerRange, bool) {
+	room := s.engine.MaxLayers(m.Accelerator, emptyFloor) - m.Holds.Len()
+	r := m.Holds
+	switch {
+	case room <= 0:
+		return r, false
+	case r.From <= gap.From && r.To >= gap.From && r.To < gap.To:
+		r.To = min(gap.To, r.To+teaselstream.Layer(room))
+	case r.To >= gap.To && r.From <= gap.To && r.From > gap.From:
+		r.From = max(gap.From, r.From-teaselstream.Layer(room))
+	default:
+		return r, false
+	}
+	return r, true
+}
+
+// move shrinks a server whose layers are all held elsewhere, so that it can take the gap once it is nearly empty.
+func (s *survey) move(gap teaselstream.LayerRange) (Hold, bool) {
+	var able []*fleet.Member
+	for _, m := range s.live {
+		if s.free(m) && !m.Holds.Empty() && s.spare(m) && !m.Holds.Contains(gap.From) {
+			able = append(able, m)
+		}
+	}
+	if len(able) == 0 {
+		return Hold{}, false
+	}
+	m := slices.MinFunc(able, func(a, b *fleet.Member) int {
+		return cmp.Or(cmp.Compare(s.misfit(a, gap), s.misfit(b, gap)), cmp.Compare(a.ID, b.ID))
+	})
+	most := s.engine.MaxLayers(m.Accelerator, emptyFloor)
+	want := teaselstream.LayerRange{From: gap.From, To: min(gap.To, gap.From+teaselstream.Layer(most))}
+	if m.Holds.Len()+want.Len() <= s.engine.MaxLayers(m.Accelerator, 0) {
+		s.give(m, want)
+		h := hold(m, want, "move to lost layers")
+		h.Cut = true
+		return h, true
+	}
+	// A range that is given up stays in memory until its requests are done, so the server first shrinks to one layer.
+	r := teaselstream.LayerRange{From: m.Holds.From, To: m.Holds.From + 1}
+	if m.Holds.Len() == 1 {
+		return Hold{}, false
+	}
+	s.give(m, r)
+	h := hold(m, r, "make room for lost layers")
+	h.Cut = true
+	return h, true
+}
+
+// spare reports whether every layer of a server has another holder that serves.
+func (s *survey) spare(m *fleet.Member) bool {
+	for l := m.Holds.From; l < m.Holds.To; l++ {
+		if s.held[l] < 2 || s.ready[l] < 2 {
+			return false
+		}
+	}
+	return true
+}
+
+// misfit prefers a server that already shrank, then the one whose size fits the gap best.
+func (s *survey) misfit(m *fleet.Member, gap teaselstream.LayerRange) int {
+	if m.Holds.Len() == 1 {
+		return -1
+	}
+	n := s.engine.MaxLayers(m.Accelerator, emptyFloor)
+	if n < gap.Len() {
+		return 100 + gap.Len() - n
+	}
+	return n - gap.Len()
+}
--- /dev/null
+++ b/fleet/core.go
@@ -0,0 +1,290 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+)
+
+const (
+	// restoreWindow is how long entries that lapsed while the store was away may take to return; the platform states about 2 s.
+	restoreWindow = 2 * time.Second
+	// lapseWindow is how long after the store's return a removal may be a lapse; a lapse is seen with the first changes read.
+	lapseWindow = 2500 * time.Millisecond
+	// forgetAfter removes a server that left the list; it exceeds the longest drain time of the platform.
+	forgetAfter = 15 * time.Second
+	// probePeriod is the time between probes of a server that does not answer.
+	probePeriod = 700 * time.Millisecond
+	// refusalPause keeps new work away from a server that was full; its queue drains in some hundred milliseconds.
+	refusalPause = 300 * time.Millisecond
+	// reportTrust is how long a report's layer range goes before the list's, which is up to two heartbeats old.
+	reportTrust = 2500 * time.Millisecond
+)
+
+type (
+	// Core is the state machine; VM and Domain must be set.
+	Core struct {
+		Domain teaselstream.DomainID
+
+		routing    *teaselstream.Routing
+		members    map[teaselstream.ServerID]*record
+		peers      []Peer
+		storeLost  bool
+		storeSince time.Time
+		regained   bool
+		dirty      bool
+	}
+
+	record struct {
+		Member
+		// listedHolds is the range in the newest entry.
+		listedHolds teaselstream.LayerRange
+		reportedAt  time.Time
+		// lapsedAt is set while a removal may be a lapse.
+		lapsedAt time.Time
+		probeAt  time.Time
+		leftAt   time.Time
+	}
+)
+
+// Update applies one message and returns the commands that follow from it.
+func (c *Core) Update(now time.Time, m teaselstream.Msg) []teaselstream.Cmd {
+	if c.members == nil {
+		c.members = make(map[teaselstream.ServerID]*record)
+	}
+	var cmds []teaselstream.Cmd
+	switch m := m.(type) {
+	case RoutingRead:
+		cmds = c.readRouting(m)
+	case Listed:
+		cmds = c.list(now, m.Replicas)
+	case Changed:
+		cmds = c.change(now, m.Replica)
+	case Removed:
+		cmds = c.remove(now, m.Server)
+	case PeersListed:
+		if !slices.Equal(c.peers, m.Peers) {
+			c.peers, c.dirty = m.Peers, true
+		}
+	case StoreLost:
+		c.storeLost, c.storeSince, c.dirty = true, now, true
+	case StoreRegained:
+		c.storeLost, c.storeSince, c.regained, c.dirty = false, now, true, true
+	case Reported:
+		cmds = c.report(now, m)
+	case Silent:
+		cmds = c.silence(now, m)
+	case Refused:
+		cmds = c.refuse(now, m)
+	case Ordered:
+		if r := c.members[m.Server]; r != nil {
+			r.Pending, c.dirty = m.Range, true
+		}
+	case teaselstream.Tick:
+		cmds = c.tick(now)
+	}
+	return c.publish(now, cmds)
+}
+
+func (c *Core) publish(now time.Time, cmds []teaselstream.Cmd) []teaselstream.Cmd {
+	if !c.dirty {
+		return cmds
+	}
+	c.dirty = false
+	v := &View{
+		At: now, Domain: c.Domain, Routing: c.routing, Peers: c.peers, StoreLost: c.storeLost, StoreSince: c.storeSince,
+		Members: make(map[teaselstream.ServerID]*Member, len(c.members)),
+		Pools:   make(map[teaselstream.ServiceID][]*Member),
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.members)) {
+		m := c.members[id].Member
+		v.Members[id] = &m
+		v.Pools[m.Service] = append(v.Pools[m.Service], &m)
+	}
+	return append(cmds, Publish{v})
+}
+
+func (c *Core) readRouting(m RoutingRead) []teaselstream.Cmd {
+	if c.routing != nil && m.Routing.Generation <= c.routing.Generation {
+		return nil
+	}
+	c.routing, c.dirty = m.Routing, true
+	return []teaselstream.Cmd{Note{Event: "RoutingAdopted"}}
+}
+
+func (c *Core) list(now time.Time, replicas []teaselstream.Replica) []teaselstream.Cmd {
+	var cmds []teaselstream.Cmd
+	seen := make(map[teaselstream.ServerID]bool, len(replicas))
+	for _, r := range replicas {
+		seen[r.ID] = true
+		cmds = append(cmds, c.change(now, r)...)
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.members)) {
+		if !seen[id] {
+			cmds = append(cmds, c.remove(now, id)...)
+		}
+	}
+	return cmds
+}
+
+func (c *Core) change(now time.Time, x teaselstream.Replica) []teaselstream.Cmd {
+	r := c.members[x.ID]
+	if r == nil {
+		c.members[x.ID] = &record{Member: Member{Replica: x, Slowdown: 1, Use: &Use{}}, listedHolds: x.Holds}
+		c.members[x.ID].mark(now, x.Draining)
+		c.dirty = true
+		return []teaselstream.Cmd{Note{Event: "ServerListed", Server: x.ID}}
+	}
+	if x.Incarnation < r.Incarnation {
+		return nil
+	}
+	var cmds []teaselstream.Cmd
+	before := r.Member
+	if x.Incarnation > r.Incarnation {
+		// A restarted replica holds nothing of before, and no earlier evidence applies to it.
+		*r = record{Member: Member{Replica: x, Slowdown: 1, Use: r.Use}, listedHolds: x.Holds}
+		cmds = append(cmds, Note{Event: "ServerRestarted", Server: x.ID})
+	} else {
+		holds := r.Holds
+		if x.Holds != r.listedHolds || now.Sub(r.reportedAt) > reportTrust {
+			if now.Sub(r.reportedAt) > reportTrust || !r.Pending.Empty() && x.Holds == r.Pending {
+				holds = x.Holds
+			}
+		}
+		r.listedHolds = x.Holds
+		orders := r.Orders
+		r.Replica = x
+		r.Holds, r.Orders = holds, orders
+	}
+	r.lapsedAt, r.leftAt = time.Time{}, time.Time{}
+	if cmd, ok := r.mark(now, x.Draining); ok {
+		cmds = append(cmds, cmd)
+	}
+	if !same(before, r.Member) {
+		c.dirty = true
+	}
+	return cmds
+}
+
+// mark takes over whether the list says that the replica drains; Down is left to probes.
+func (r *record) mark(now time.Time, draining bool) (teaselstream.Cmd, bool) {
+	switch {
+	case draining && r.LeavingSince.IsZero():
+		r.LeavingSince = now
+		if r.State != Down {
+			r.State = Leaving
+		}
+		return Note{Event: "ServerLeaving", Server: r.ID, Reason: "draining"}, true
+	case !draining && !r.LeavingSince.IsZero():
+		r.LeavingSince = time.Time{}
+		if r.State == Leaving {
+			r.State = Serving
+		}
+		return Note{Event: "ServerBack", Server: r.ID}, true
+	}
+	return nil, false
+}
+
+func same(a, b Member) bool {
+	return a.State == b.State && a.Holds == b.Holds && a.Address == b.Address && a.Incarnation == b.Incarnation &&
+		a.Service == b.Service && a.Domain == b.Domain && a.LeavingSince.Equal(b.LeavingSince) && a.Pending == b.Pending &&
+		a.Slots == b.Slots && a.Slowdown == b.Slowdown && a.Accelerator == b.Accelerator && a.PausedUntil.Equal(b.PausedUntil)
+}
+
+func (c *Core) remove(now time.Time, id teaselstream.ServerID) []teaselstream.Cmd {
+	r := c.members[id]
+	if r == nil || !r.leftAt.IsZero() || !r.lapsedAt.IsZero() {
+		return nil
+	}
+	if c.storeLost || c.regained && now.Sub(c.storeSince) < lapseWindow {
+		r.lapsedAt = now
+		return []teaselstream.Cmd{Note{Event: "ServerLapsed", Server: id, Age: now.Sub(c.storeSince)}}
+	}
+	return c.left(now, r, "removed from the list")
+}
+
+// left takes a removal as the start of a silent drain, since some replicas never report draining.
+func (c *Core) left(now time.Time, r *record, reason string) []teaselstream.Cmd {
+	r.leftAt, r.lapsedAt = now, time.Time{}
+	if r.LeavingSince.IsZero() {
+		r.LeavingSince = now
+	}
+	if r.State != Down {
+		r.State = Leaving
+	}
+	c.dirty = true
+	return []teaselstream.Cmd{Note{Event: "ServerLeft", Server: r.ID, Reason: reason}}
+}
+
+func (c *Core) report(now time.Time, m Reported) []teaselstream.Cmd {
+	r := c.members[m.Server]
+	if r == nil || m.Report.Incarnation < r.Incarnation {
+		return nil
+	}
+	before := r.Member
+	if m.Report.Incarnation > r.Incarnation {
+		r.Incarnation = m.Report.Incarnation
+		r.Pending = teaselstream.LayerRange{}
+	}
+	r.Holds, r.Orders, r.reportedAt = m.Report.Holds, m.Report.Orders, now
+	if m.Report.Pace > 0 {
+		r.Slowdown = m.Report.Pace
+	}
+	var cmds []teaselstream.Cmd
+	if r.State == Down {
+		r.State, r.DownSince = Serving, time.Time{}
+		if !r.LeavingSince.IsZero() {
+			r.State = Leaving
+		}
+		cmds = append(cmds, Note{Event: "ServerAnswers", Server: r.ID})
+	}
+	c.dirty = c.dirty || !same(before, r.Member)
+	return cmds
+}
+
+func (c *Core) silence(now time.Time, m Silent) []teaselstream.Cmd {
+	r := c.members[m.Server]
+	if r == nil || m.Incarnation < r.Incarnation {
+		return nil
+	}
+	r.probeAt = now.Add(probePeriod)
+	if r.State == Down {
+		return nil
+	}
+	r.State, r.DownSince, c.dirty = Down, now, true
+	return []teaselstream.Cmd{Note{Event: "ServerDown", Server: r.ID, Reason: m.Reason}}
+}
+
+func (c *Core) refuse(now time.Time, m Refused) []teaselstream.Cmd {
+	r := c.members[m.Server]
+	if r == nil {
+		return nil
+	}
+	r.PausedUntil, c.dirty = now.Add(refusalPause), true
+	if !m.Misplaced {
+		return []teaselstream.Cmd{Note{Event: "ServerPaused", Server: r.ID, Reason: "refused work"}}
+	}
+	return []teaselstream.Cmd{ReadReport{Server: r.ID, Address: r.Address, Reason: "does not hold its range"}}
+}
+
+func (c *Core) tick(now time.Time) []teaselstream.Cmd {
+	var cmds []teaselstream.Cmd
+	for _, id := range slices.Sorted(maps.Keys(c.members)) {
+		r := c.members[id]
+		switch {
+		case !r.lapsedAt.IsZero() && !c.storeLost && now.Sub(c.storeSince) >= restoreWindow && now.Sub(r.lapsedAt) >= restoreWindow:
+			cmds = append(cmds, c.left(now, r, "not restored after the store's return")...)
+		case !r.leftAt.IsZero() && now.Sub(r.leftAt) >= forgetAfter:
+			delete(c.members, id)
+			c.dirty = true
+			continue
+		}
+		if r.State == Down && r.leftAt.IsZero() && !now.Before(r.probeAt) {
+			r.probeAt = now.Add(probePeriod)
+			cmds = append(cmds, ReadReport{Server: id, Address: r.Address, Reason: "down"})
+		}
+	}
+	return cmds
+}
--- /dev/null
+++ b/fleet/view.go
@@ -0,0 +1,101 @@
+package fleet
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+)
+
+type (
+	// State is the judgement of a backend server.
+	State uint8
+
+	// Use counts the work that this VM has in progress at one server; it is shared by all views.
+	Use struct {
+		// Tokens is the sum of prompt and answer sizes of running model requests.
+		Tokens atomic.Int64
+		// Requests counts running requests.
+		Requests atomic.Int64
+	}
+
+	// Member is a backend server as traffic sees it.
+	Member struct {
+		teaselstream.Replica
+		State State
+		// LeavingSince is when this VM learned that the server leaves.
+		LeavingSince time.Time
+		// PausedUntil keeps new work away after a refusal that will pass.
+		PausedUntil time.Time
+		// Slowdown is the pace of the server's last report; over 1 means slow.
+		Slowdown float64
+		// Pending is the range that an order of this VM is loading.
+		Pending teaselstream.LayerRange
+		// DownSince is when the server stopped answering.
+		DownSince time.Time
+		Use       *Use
+	}
+
+	// Peer is another VM.
+	Peer struct {
+		Name   teaselstream.VMID     `json:"Name"`
+		Domain teaselstream.DomainID `json:"Domain"`
+	}
+
+	// View is an immutable picture of routing, backend servers and VMs.
+	View struct {
+		At      time.Time
+		Domain  teaselstream.DomainID
+		Routing *teaselstream.Routing
+		Members map[teaselstream.ServerID]*Member
+		// Pools lists the members of each service, sorted by id.
+		Pools map[teaselstream.ServiceID][]*Member
+		// Peers lists the VMs of all failure domains, this one included.
+		Peers []Peer
+		// StoreSince is when the store was last lost or regained, and StoreLost whether it is lost.
+		StoreLost  bool
+		StoreSince time.Time
+	}
+)
+
+const (
+	// Serving takes new work.
+	Serving State = iota
+	// Leaving finishes its work and takes no more.
+	Leaving
+	// Down does not answer.
+	Down
+)
+
+// String returns the name of the state.
+func (s State) String() string {
+	switch s {
+	case Serving:
+		return "Serving"
+	case Leaving:
+		return "Leaving"
+	default:
+		return "Down"
+	}
+}
+
+// DomainVMs returns the number of VMs in a failure domain, at least 1.
+func (v *View) DomainVMs(d teaselstream.DomainID) int {
+	n := 0
+	for _, p := range v.Peers {
+		if p.Domain == d {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+// ByAddress returns the member that has an address, or nil.
+func (v *View) ByAddress(address string) *Member {
+	for _, m := range v.Members {
+		if m.Address == address {
+			return m
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/flow/message.go
@@ -0,0 +1,105 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+)
+
+type (
+	// Start begins the request.
+	Start struct{}
+
+	// Opened brings the status line and header of an attempt's answer.
+	Opened struct {
+		Attempt teaselstream.Attempt
+		Status  int
+		Answer  teaselstream.AnswerHead
+	}
+
+	// Event brings one whole event of an attempt's answer.
+	Event struct {
+		Attempt teaselstream.Attempt
+		// ID is the event's number; 0 means that it has none.
+		ID   uint64
+		Data []byte
+	}
+
+	// Closed says that an attempt's answer has ended.
+	Closed struct {
+		Attempt teaselstream.Attempt
+		// Complete says that the answer ended as its framing announced.
+		Complete bool
+		// NotSent says that no byte of the request was written.
+		NotSent bool
+		Reason  string
+	}
+
+	// Probed brings the results of a Probe.
+	Probed struct {
+		Attempt teaselstream.Attempt
+		// Silent holds the servers that did not answer.
+		Silent []teaselstream.ServerID
+		// Stalled is the address of the part that the first server waits for, or empty.
+		Stalled string
+	}
+
+	// Repathed brings the result of a Repath.
+	Repathed struct {
+		Attempt teaselstream.Attempt
+		Err     error
+	}
+
+	// Lost names servers that are known not to answer.
+	Lost struct{ Servers []teaselstream.ServerID }
+
+	// TimedOut says that the time for the final answer is up.
+	TimedOut struct{}
+
+	// CallerGone says that the caller has closed its connection.
+	CallerGone struct{}
+
+	// Open sends the request to the first server of a path.
+	Open struct {
+		Attempt   teaselstream.Attempt
+		Path      teaselstream.Path
+		LastEvent uint64
+		Reason    string
+	}
+
+	// Abort closes an attempt's connection.
+	Abort struct {
+		Attempt teaselstream.Attempt
+		Reason  string
+	}
+
+	// Probe asks all servers of a path for their reports.
+	Probe struct {
+		Attempt teaselstream.Attempt
+		Path    teaselstream.Path
+		Waited  time.Duration
+	}
+
+	// Repath moves the running request to another path with the same first part.
+	Repath struct {
+		Attempt teaselstream.Attempt
+		Path    teaselstream.Path
+		Reason  string
+	}
+
+	// Deliver hands one event to the caller; the first one is preceded by the attempt's header.
+	Deliver struct {
+		Attempt teaselstream.Attempt
+		Data    []byte
+	}
+
+	// PassOn hands an attempt's whole answer to the caller unchanged.
+	PassOn struct{ Attempt teaselstream.Attempt }
+
+	// Finish ends the request.
+	Finish struct {
+		// Complete ends the answer as complete; otherwise Refusal says what the caller gets, or the connection is cut if the answer has begun.
+		Complete bool
+		Refusal  *teaselstream.Error
+	}
+)
--- /dev/null
+++ b/flow/stream.go
@@ -0,0 +1,423 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+)
+
+const (
+	// firstProbe is the wait for the first event before the path is probed: well under the usual objective of 500 ms, so that another path can still meet it.
+	firstProbe = 170 * time.Millisecond
+	// eventProbe is the least wait for a further event before the path is probed; usual events are 30 to 60 ms apart.
+	eventProbe = 90 * time.Millisecond
+	// gapShare is the part of the allowed pause that may pass before the path is probed.
+	gapShare = 0.5
+	// paceFactor is how many usual pauses may pass before the path is probed.
+	paceFactor = 3.0
+	// probeGrowth spaces further probes of a path whose servers all answer.
+	probeGrowth = 2.0
+	// hungTime is the silence after which a path whose servers all answer is given up. Callers leave after 2 s without an event.
+	hungTime = 1100 * time.Millisecond
+	// maxOpens bounds the times a request is sent, refused ones included.
+	maxOpens = 5
+	// maxRepaths bounds the moves of one attempt.
+	maxRepaths = 4
+	// refusalWait spaces attempts that were refused as not run.
+	refusalWait = 40 * time.Millisecond
+	// retryAfterFull tells a caller when to come back after refusals for lack of room; a usual stream lasts about this long.
+	retryAfterFull = 1 * time.Second
+	// retryAfterLost tells a caller when to come back while no path covers all layers; a lost range is loaded again in about this time.
+	retryAfterLost = 2 * time.Second
+)
+
+type (
+	// Planner finds a path for the request.
+	Planner interface {
+		// Plan returns a path that avoids servers and starts at first, unless that is empty.
+		Plan(now time.Time, avoid map[teaselstream.ServerID]bool, first teaselstream.ServerID) (teaselstream.Path, time.Duration, bool)
+		// Down reports whether a server is known not to answer.
+		Down(id teaselstream.ServerID) bool
+		// Resolve returns the server at an address.
+		Resolve(address string) teaselstream.ServerID
+	}
+
+	// Options describes the request.
+	Options struct {
+		Planner Planner
+		// MayRetry draws on the retry budget.
+		MayRetry func() bool
+		// Resumable says that the stream may go on at another server.
+		Resumable bool
+		// Gap is the longest pause between events of an answer in time; 0 means none is stated.
+		Gap time.Duration
+		// MaxServers bounds the servers on which the request may run.
+		MaxServers int
+		// LastEvent is the last event that the caller has from an earlier request.
+		LastEvent uint64
+	}
+
+	// Stream is the core of one model request.
+	Stream struct {
+		Options
+		Path    teaselstream.Path
+		Attempt teaselstream.Attempt
+
+		avoid map[teaselstream.ServerID]bool
+		// opens counts sends, runs those that may have run, and repaths the moves of this attempt.
+		opens, runs, repaths int
+		// mayHaveRun says that some attempt may have run.
+		mayHaveRun bool
+		last       uint64
+		delivered  bool
+		step       time.Duration
+		// progress is the time of the last sign of life, probeWait the silence before the next probe.
+		progress  time.Time
+		probeWait time.Duration
+		probing   bool
+		moving    bool
+		opened    bool
+		begun     bool
+		// gap is the mean pause between events.
+		gap    time.Duration
+		reopen time.Time
+		done   bool
+	}
+)
+
+// Update applies one message and returns the commands that follow from it.
+func (s *Stream) Update(now time.Time, m teaselstream.Msg) []teaselstream.Cmd {
+	if s.done {
+		return nil
+	}
+	switch m := m.(type) {
+	case Start:
+		s.avoid = make(map[teaselstream.ServerID]bool)
+		s.last = s.LastEvent
+		return s.open(now, "first")
+	case Opened:
+		return s.onOpened(now, m)
+	case Event:
+		return s.onEvent(now, m)
+	case Closed:
+		return s.onClosed(now, m)
+	case Probed:
+		return s.onProbed(now, m)
+	case Repathed:
+		return s.onRepathed(now, m)
+	case Lost:
+		return s.onLost(now, m)
+	case TimedOut:
+		return s.timeOut()
+	case CallerGone:
+		s.done = true
+		return []teaselstream.Cmd{Abort{s.Attempt, "caller left"}, Finish{}}
+	case teaselstream.Tick:
+		return s.tick(now)
+	}
+	return nil
+}
+
+// Delivered reports whether the caller has events of this request.
+func (s *Stream) Delivered() bool { return s.delivered }
+
+// Last returns the number of the last event that the caller has.
+func (s *Stream) Last() uint64 { return s.last }
+
+func (s *Stream) open(now time.Time, reason string) []teaselstream.Cmd {
+	path, step, ok := s.Planner.Plan(now, s.avoid, "")
+	if !ok && len(s.avoid) > 0 {
+		// A server that refused once may serve now; only those that do not answer stay avoided.
+		for id := range s.avoid {
+			if !s.Planner.Down(id) {
+				delete(s.avoid, id)
+			}
+		}
+		path, step, ok = s.Planner.Plan(now, s.avoid, "")
+	}
+	if !ok {
+		return s.fail(teaselstream.CodeNoRoute, "no path covers all layers", retryAfterLost)
+	}
+	s.Attempt++
+	s.opens++
+	s.Path, s.step = path, step
+	s.repaths, s.probing, s.moving, s.opened, s.begun = 0, false, false, false, false
+	s.progress, s.reopen = now, time.Time{}
+	s.probeWait = firstProbe
+	last := uint64(0)
+	if s.last != s.LastEvent {
+		last = s.last
+	}
+	return []teaselstream.Cmd{Open{Attempt: s.Attempt, Path: path, LastEvent: last, Reason: reason}}
+}
+
+func (s *Stream) fail(code teaselstream.Code, message string, retryAfter time.Duration) []teaselstream.Cmd {
+	s.done = true
+	if s.delivered {
+		return []teaselstream.Cmd{Finish{}}
+	}
+	e := &teaselstream.Error{Code: code, Outcome: teaselstream.NotRun, Message: message, RetryAfter: retryAfter}
+	if s.mayHaveRun {
+		e.Code, e.Outcome, e.RetryAfter = teaselstream.CodeServerLost, teaselstream.Unknown, 0
+	}
+	return []teaselstream.Cmd{Finish{Refusal: e}}
+}
+
+func (s *Stream) onOpened(now time.Time, m Opened) []teaselstream.Cmd {
+	if m.Attempt != s.Attempt {
+		return nil
+	}
+	s.progress = now
+	switch {
+	case m.Status/100 == 2:
+		s.opened = true
+		s.note()
+		return nil
+	case m.Answer.NotRun:
+		return s.refused(now, m)
+	default:
+		// The server ran the request and reports a failure of its own.
+		s.note()
+		if s.delivered {
+			return s.again(now, "failure status")
+		}
+		if s.mayRepeat() && s.runs < s.MaxServers && s.MayRetry() {
+			s.avoid[s.Path[0].Server] = true
+			return append([]teaselstream.Cmd{Abort{s.Attempt, "failure status"}}, s.open(now, "failure status")...)
+		}
+		s.done = true
+		return []teaselstream.Cmd{PassOn{s.Attempt}}
+	}
+}
+
+// note records that the current attempt may have run.
+func (s *Stream) note() {
+	if !s.begun {
+		s.begun = true
+		s.runs++
+		s.mayHaveRun = true
+	}
+}
+
+func (s *Stream) mayRepeat() bool { return s.Resumable }
+
+func (s *Stream) refused(now time.Time, m Opened) []teaselstream.Cmd {
+	fault := s.Planner.Resolve(m.Answer.Fault)
+	if fault == "" {
+		fault = s.Path[0].Server
+	}
+	s.avoid[fault] = true
+	cmds := []teaselstream.Cmd{Abort{s.Attempt, "refused as not run"}}
+	if s.opens >= maxOpens || !s.MayRetry() {
+		return append(cmds, s.fail(teaselstream.CodeOverloaded, "servers refused the request", retryAfterFull)...)
+	}
+	if s.opens == 1 {
+		return append(cmds, s.open(now, "refused as not run")...)
+	}
+	s.reopen = now.Add(refusalWait)
+	return cmds
+}
+
+func (s *Stream) onEvent(now time.Time, m Event) []teaselstream.Cmd {
+	if m.Attempt != s.Attempt {
+		return nil
+	}
+	s.note()
+	pause := now.Sub(s.progress)
+	s.progress = now
+	if m.ID != 0 && m.ID <= s.last {
+		return nil
+	}
+	if m.ID != 0 && s.last != 0 && m.ID != s.last+1 {
+		return append([]teaselstream.Cmd{Abort{s.Attempt, "events are missing"}}, s.again(now, "events are missing")...)
+	}
+	if s.delivered {
+		s.gap = (3*s.gap + pause) / 4
+	}
+	if m.ID != 0 {
+		s.last = m.ID
+	}
+	s.delivered = true
+	s.probeWait = s.eventWait()
+	return []teaselstream.Cmd{Deliver{s.Attempt, m.Data}}
+}
+
+func (s *Stream) eventWait() time.Duration {
+	w := max(eventProbe, time.Duration(paceFactor*float64(s.gap)))
+	if s.Gap > 0 {
+		w = min(w, max(eventProbe, time.Duration(gapShare*float64(s.Gap))))
+	}
+	return w
+}
+
+func (s *Stream) onClosed(now time.Time, m Closed) []teaselstream.Cmd {
+	if m.Attempt != s.Attempt || !s.reopen.IsZero() {
+		return nil
+	}
+	if m.Complete && s.opened {
+		s.done = true
+		return []teaselstream.Cmd{Finish{Complete: true}}
+	}
+	if !m.NotSent {
+		s.note()
+	}
+	if len(s.Path) > 0 {
+		s.avoid[s.Path[0].Server] = true
+	}
+	return s.again(now, m.Reason)
+}
+
+// again sends the request once more if its route, the budget and the servers it ran on allow that.
+func (s *Stream) again(now time.Time, reason string) []teaselstream.Cmd {
+	if s.mayHaveRun && !s.mayRepeat() {
+		return s.fail(teaselstream.CodeServerLost, reason, 0)
+	}
+	if s.opens >= maxOpens || s.counted() >= max(s.MaxServers, 1) || s.runs > 0 && !s.MayRetry() {
+		return s.fail(teaselstream.CodeServerLost, reason, retryAfterFull)
+	}
+	return s.open(now, reason)
+}
+
+// counted returns the servers that count against MaxServers: those that have ended do not.
+func (s *Stream) counted() int {
+	n := s.runs
+	for id := range s.avoid {
+		if s.Planner.Down(id) && n > 0 {
+			n--
+		}
+	}
+	return n
+}
+
+func (s *Stream) tick(now time.Time) []teaselstream.Cmd {
+	if !s.reopen.IsZero() {
+		if now.Before(s.reopen) {
+			return nil
+		}
+		return s.open(now, "refused as not run")
+	}
+	silent := now.Sub(s.progress)
+	if s.probing || s.moving || silent < s.probeWait {
+		return nil
+	}
+	if silent > hungTime && s.mayRepeat() && s.counted() < max(s.MaxServers, 1) {
+		s.note()
+		s.avoid[s.Path[0].Server] = true
+		return append([]teaselstream.Cmd{Abort{s.Attempt, "no event"}}, s.again(now, "no event")...)
+	}
+	s.probing = true
+	s.probeWait = time.Duration(float64(s.probeWait) * probeGrowth)
+	return []teaselstream.Cmd{Probe{s.Attempt, s.Path, silent}}
+}
+
+func (s *Stream) onProbed(now time.Time, m Probed) []teaselstream.Cmd {
+	if m.Attempt != s.Attempt || !s.probing {
+		return nil
+	}
+	s.probing = false
+	stalled := s.Planner.Resolve(m.Stalled)
+	for _, id := range m.Silent {
+		s.avoid[id] = true
+	}
+	if stalled != "" && stalled != s.Path[0].Server {
+		s.avoid[stalled] = true
+	}
+	return s.leave(now, "part does not answer")
+}
+
+func (s *Stream) onLost(now time.Time, m Lost) []teaselstream.Cmd {
+	for _, id := range m.Servers {
+		s.avoid[id] = true
+	}
+	if s.moving || !s.reopen.IsZero() || len(s.Path) == 0 {
+		return nil
+	}
+	return s.leave(now, "part is down")
+}
+
+func (s *Stream) timeOut() []teaselstream.Cmd {
+	s.done = true
+	cmds := []teaselstream.Cmd{Abort{s.Attempt, "time is up"}}
+	if s.delivered {
+		return append(cmds, Finish{})
+	}
+	e := &teaselstream.Error{Code: teaselstream.CodeDeadlineExceeded, Outcome: teaselstream.Unknown, Message: "time for the answer is up"}
+	return append(cmds, Finish{Refusal: e})
+}
+
+// Due returns when a Tick is next needed.
+func (s *Stream) Due() time.Time {
+	switch {
+	case s.done:
+		return time.Time{}
+	case !s.reopen.IsZero():
+		return s.reopen
+	case s.probing || s.moving:
+		// The result of the probe or move comes as a message.
+		return s.progress.Add(hungTime + s.probeWait)
+	}
+	return s.progress.Add(s.probeWait)
+}
+
+// leave moves the request off the servers that it must avoid.
+func (s *Stream) leave(now time.Time, reason string) []teaselstream.Cmd {
+	if s.avoid[s.Path[0].Server] {
+		if !s.begun {
+			s.note()
+		}
+		if !s.mayRepeat() {
+			return nil
+		}
+		return append([]teaselstream.Cmd{Abort{s.Attempt, reason}}, s.again(now, reason)...)
+	}
+	hit := false
+	for _, p := range s.Path {
+		hit = hit || s.avoid[p.Server]
+	}
+	if !hit {
+		return nil
+	}
+	path, step, ok := s.Planner.Plan(now, s.avoid, s.Path[0].Server)
+	if ok && path[0] != s.Path[0] {
+		// The running request keeps its first part, whose end must not move.
+		ok = false
+	}
+	if ok && s.repaths < maxRepaths {
+		s.repaths++
+		s.moving = true
+		s.Path, s.step = path, step
+		return []teaselstream.Cmd{Repath{s.Attempt, path, reason}}
+	}
+	if !s.mayRepeat() {
+		return nil
+	}
+	s.note()
+	return append([]teaselstream.Cmd{Abort{s.Attempt, reason}}, s.again(now, reason)...)
+}
+
+func (s *Stream) onRepathed(now time.Time, m Repathed) []teaselstream.Cmd {
+	if m.Attempt != s.Attempt || !s.moving {
+		return nil
+	}
+	s.moving = false
+	if m.Err == nil {
+		// The new parts read all tokens so far before the next event.
+		s.progress = now
+		s.probeWait = max(s.probeWait, firstProbe)
+		return nil
+	}
+	if !s.mayRepeat() {
+		return nil
+	}
+	s.note()
+	return append([]teaselstream.Cmd{Abort{s.Attempt, "move failed"}}, s.again(now, "move failed")...)
+}
+
+// Vacate tells the stream that a server on its path will end soon.
+func (s *Stream) Vacate(now time.Time, id teaselstream.ServerID) []teaselstream.Cmd {
+	if s.done || s.moving || s.avoid[id] || !s.opened || len(s.Path) == 0 || s.Path[0].Server == id {
+		return nil
+	}
+	s.avoid[id] = true
+	return s.leave(now, "part is leaving")
+}
--- a/id.go
+++ b/id.go
@@ -81,3 +81,9 @@
 
 // String returns the range as "From-To".
 func (r LayerRange) String() string { return fmt.Sprintf("%d-%d", r.From, r.To) }
+
+// Empty reports whether the range has no layers.
+func (r LayerRange) Empty() bool { return r.To <= r.From }
+
+// Within reports whether all layers of the range lie in s.
+func (r LayerRange) Within(s LayerRange) bool { return s.From <= r.From && r.To <= s.To }
--- a/outcome.go
+++ b/outcome.go
@@ -26,6 +26,8 @@
 	ErrUnavailable = errors.New("unavailable")
 	// ErrOutcomeUnknown reports a call that may have had an effect.
 	ErrOutcomeUnknown = errors.New("outcome unknown")
+	// ErrCompacted reports a revision whose later changes the store no longer keeps.
+	ErrCompacted = errors.New("history compacted")
 	// ErrFenced reports an order refused for its old fencing number.
 	ErrFenced = errors.New("fencing number too old")
 )
--- /dev/null
+++ b/proxy/prober.go
@@ -0,0 +1,107 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/fleet"
+)
+
+const (
+	// probeTimeout bounds the wait for a server's report, which needs no slot and takes some milliseconds.
+	probeTimeout = 90 * time.Millisecond
+	// probeShare is how long a probe's result serves other streams.
+	probeShare = 150 * time.Millisecond
+)
+
+type (
+	// prober reads servers' reports for streams that wait; streams that wait for the same server share a probe.
+	prober struct {
+		mu     sync.Mutex
+		recent map[teaselstream.ServerID]*probe
+	}
+
+	probe struct {
+		at     time.Time
+		done   chan struct{}
+		report teaselstream.ReplicaReport
+		err    error
+	}
+)
+
+// read returns a server's report, from this or a very recent probe.
+func (p *prober) read(h *Handler, m *fleet.Member) (teaselstream.ReplicaReport, error) {
+	now := time.Now()
+	p.mu.Lock()
+	if p.recent == nil {
+		p.recent = make(map[teaselstream.ServerID]*probe)
+	}
+	x := p.recent[m.ID]
+	if x == nil || now.Sub(x.at) > probeShare {
+		x = &probe{at: now, done: make(chan struct{})}
+		p.recent[m.ID] = x
+		p.mu.Unlock()
+		x.report, x.err = h.ReadReport(m.ID, m.Address, m.Incarnation)
+		close(x.done)
+		return x.report, x.err
+	}
+	p.mu.Unlock()
+	<-x.done
+	return x.report, x.err
+}
+
+// ReadReport reads a server's report and tells the control side the result.
+func (h *Handler) ReadReport(id teaselstream.ServerID, address string, incarnation teaselstream.Incarnation) (teaselstream.ReplicaReport, error) {
+	var report teaselstream.ReplicaReport
+	var err error
+	// A kept connection may be dead although the server lives, so a failure counts only if a second try agrees.
+	for range 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		report, err = h.Replicas.Report(ctx, id, address)
+		cancel()
+		if err == nil {
+			h.Post(fleet.Reported{Server: id, Report: report})
+			return report, nil
+		}
+	}
+	h.Post(fleet.Silent{Server: id, Incarnation: incarnation, Reason: err.Error()})
+	return report, err
+}
+
+// path probes all servers of a path at once and returns those that do not answer, and the part that the
+// first one waits for.
+func (p *prober) path(h *Handler, v *fleet.View, path teaselstream.Path, id teaselstream.AttemptID) ([]teaselstream.ServerID, string) {
+	var wait sync.WaitGroup
+	errs := make([]error, len(path))
+	stalled := ""
+	for i, part := range path {
+		m := v.Members[part.Server]
+		if m == nil {
+			continue
+		}
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			report, err := p.read(h, m)
+			errs[i] = err
+			if i > 0 || err != nil {
+				return
+			}
+			for _, s := range report.Stalled {
+				if s.Attempt == id {
+					stalled = s.Address
+				}
+			}
+		}()
+	}
+	wait.Wait()
+	var silent []teaselstream.ServerID
+	for i, err := range errs {
+		if err != nil {
+			silent = append(silent, path[i].Server)
+		}
+	}
+	return silent, stalled
+}
--- /dev/null
+++ b/proxy/stream.go
@@ -0,0 +1,408 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/chain"
+	"github.com/teaselstream/teaselstream/fleet"
+	"github.com/teaselstream/teaselstream/flow"
+	"github.com/teaselstream/teaselstream/meter"
+)
+
+const (
+	// vacateShare is the part of the drain time after which running streams leave a draining part.
+	vacateShare = 0.6
+	// orderWait bounds a move's order; replicas answer orders in some milliseconds.
+	orderWait = 150 * time.Millisecond
+	// messageRoom lets the reader of an answer run ahead of the caller by some events.
+	messageRoom = 8
+)
+
+type (
+	// streamRun is the shell of one model request.
+	streamRun struct {
+		*request
+		core    flow.Stream
+		inbox   chan teaselstream.Msg
+		done    chan struct{}
+		cancel  context.CancelFunc
+		answers map[teaselstream.Attempt]*answerHead
+		held    []*fleet.Use
+		tokens  int64
+		seen    *fleet.View
+		events  int
+		lastAt  time.Time
+		pauses  time.Duration
+		moves   int
+	}
+
+	// answerHead is what is kept of an attempt's answer; body is set for answers that are passed on whole.
+	answerHead struct {
+		status int
+		header http.Header
+		body   []byte
+	}
+
+	// answered carries an attempt's head to the core and keeps it.
+	answered struct {
+		flow.Opened
+		head answerHead
+	}
+
+	// streamPlanner finds paths for one request.
+	streamPlanner struct {
+		request *request
+		ask     chain.Ask
+	}
+)
+
+func (p *streamPlanner) Plan(now time.Time, avoid map[teaselstream.ServerID]bool, first teaselstream.ServerID) (teaselstream.Path, time.Duration, bool) {
+	ask := p.ask
+	ask.Avoid, ask.First = avoid, first
+	return p.request.handler.Planner.Plan(now, p.request.handler.View(), ask)
+}
+
+func (p *streamPlanner) Down(id teaselstream.ServerID) bool {
+	m := p.request.handler.View().Members[id]
+	return m == nil || m.State == fleet.Down
+}
+
+func (p *streamPlanner) Resolve(address string) teaselstream.ServerID {
+	if address == "" {
+		return ""
+	}
+	if m := p.request.handler.View().ByAddress(address); m != nil {
+		return m.ID
+	}
+	return ""
+}
+
+// stream forwards a model request.
+func (r *request) stream() {
+	h := r.handler
+	answerTokens := r.answerTokens()
+	s := &streamRun{
+		request: r, inbox: make(chan teaselstream.Msg, messageRoom), done: make(chan struct{}), cancel: func() {},
+		answers: make(map[teaselstream.Attempt]*answerHead), tokens: int64(r.head.PromptTokens + answerTokens), lastAt: r.Arrived,
+	}
+	s.core.Options = flow.Options{
+		Planner: &streamPlanner{r, chain.Ask{
+			Service: r.pool.Service, PromptTokens: r.head.PromptTokens, AnswerTokens: answerTokens,
+		}},
+		MayRetry:  func() bool { return h.Budget.Retry(time.Now()) },
+		Resumable: r.route.Resumable || r.route.Idempotent, Gap: r.route.Gap, MaxServers: max(r.route.MaxServers, 1), LastEvent: r.head.LastEvent,
+	}
+	defer s.end()
+	cmds := s.core.Update(time.Now(), flow.Start{})
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for !s.execute(cmds) {
+		cmds = s.next(timer)
+	}
+}
+
+func (r *request) answerTokens() int {
+	expected := r.head.ExpectedTokens
+	if expected == 0 {
+		expected = r.pool.Engine.UsualAnswer
+	}
+	if r.head.MaxTokens > 0 {
+		expected = min(expected, r.head.MaxTokens)
+	}
+	return max(expected, 1)
+}
+
+func (s *streamRun) end() {
+	close(s.done)
+	s.cancel()
+	s.hold(nil)
+}
+
+// next waits for the next message and returns what the core makes of it.
+func (s *streamRun) next(timer *time.Timer) []teaselstream.Cmd {
+	now := time.Now()
+	if cmds := s.watch(now); len(cmds) > 0 {
+		return cmds
+	}
+	due := s.core.Due()
+	if s.deadline.Before(due) {
+		due = s.deadline
+	}
+	timer.Reset(max(due.Sub(now), 0))
+	select {
+	case m := <-s.inbox:
+		now = time.Now()
+		if a, ok := m.(answered); ok {
+			s.answers[a.Attempt] = &a.head
+			return s.core.Update(now, a.Opened)
+		}
+		return s.core.Update(now, m)
+	case <-s.Gone:
+		return s.core.Update(time.Now(), flow.CallerGone{})
+	case <-timer.C:
+		now = time.Now()
+		if !now.Before(s.deadline) {
+			return s.core.Update(now, flow.TimedOut{})
+		}
+		return s.core.Update(now, teaselstream.Tick{})
+	}
+}
+
+// watch tells the core what a new view says of the servers on its path.
+func (s *streamRun) watch(now time.Time) []teaselstream.Cmd {
+	v := s.handler.View()
+	drain := time.Duration(vacateShare * float64(s.handler.Planner.DrainTime))
+	var lost []teaselstream.ServerID
+	var cmds []teaselstream.Cmd
+	for _, p := range s.core.Path {
+		m := v.Members[p.Server]
+		switch {
+		case m == nil:
+		case v != s.seen && m.State == fleet.Down:
+			lost = append(lost, p.Server)
+		case m.State == fleet.Leaving && now.Sub(m.LeavingSince) > drain:
+			cmds = append(cmds, s.core.Vacate(now, p.Server)...)
+		}
+	}
+	s.seen = v
+	if len(lost) > 0 {
+		cmds = append(cmds, s.core.Update(now, flow.Lost{Servers: lost})...)
+	}
+	return cmds
+}
+
+// execute carries out commands and reports whether the request has ended.
+func (s *streamRun) execute(cmds []teaselstream.Cmd) bool {
+	for _, c := range cmds {
+		switch c := c.(type) {
+		case flow.Open:
+			s.open(c)
+		case flow.Abort:
+			s.cancel()
+			s.hold(nil)
+			s.log("AttemptAborted", slog.LevelInfo, "attempt", c.Attempt, "reason", c.Reason)
+		case flow.Probe:
+			go s.probe(c)
+		case flow.Repath:
+			s.moves++
+			s.hold(c.Path)
+			go s.repath(c)
+		case flow.Deliver:
+			if !s.deliver(c) {
+				return s.execute(s.core.Update(time.Now(), flow.CallerGone{}))
+			}
+		case flow.PassOn:
+			s.passOn(c)
+			return true
+		case flow.Finish:
+			s.finish(c)
+			return true
+		}
+	}
+	return false
+}
+
+// hold moves this request's share of the servers' memory to another path.
+func (s *streamRun) hold(path teaselstream.Path) {
+	for _, u := range s.held {
+		u.Tokens.Add(-s.tokens)
+		u.Requests.Add(-1)
+	}
+	s.held = s.held[:0]
+	v := s.handler.View()
+	for _, p := range path {
+		if m := v.Members[p.Server]; m != nil {
+			m.Use.Tokens.Add(s.tokens)
+			m.Use.Requests.Add(1)
+			s.held = append(s.held, m.Use)
+		}
+	}
+}
+
+func (s *streamRun) open(c flow.Open) {
+	s.cancel()
+	s.hold(c.Path)
+	ctx, cancel := context.WithDeadline(context.Background(), s.deadline)
+	s.cancel = cancel
+	if c.Attempt > 1 {
+		s.handler.Meter.Count(meter.Retry, 1)
+		s.log("RequestSentAgain", slog.LevelInfo, "attempt", c.Attempt, "reason", c.Reason, "server", string(c.Path[0].Server),
+			"lastEvent", c.LastEvent, "viewAgeMs", time.Since(s.handler.View().At).Milliseconds())
+	}
+	header := endToEnd(s.Header)
+	s.handler.Dialect.Dispatch(header, teaselstream.Dispatch{
+		Team: s.caller.Team, Server: c.Path[0].Server, Left: s.left(time.Now()), Path: c.Path, LastEvent: c.LastEvent,
+	})
+	m := &message{method: s.Method, target: s.Target, host: s.Host, header: header, body: s.Body}
+	go s.read(ctx, c, m)
+}
+
+// tell hands a message to the core unless the request has ended.
+func (s *streamRun) tell(ctx context.Context, m teaselstream.Msg) bool {
+	select {
+	case s.inbox <- m:
+		return true
+	case <-s.done:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// read sends one attempt and reports its answer to the core.
+func (s *streamRun) read(ctx context.Context, c flow.Open, m *message) {
+	h := s.handler
+	fresh := !s.core.Resumable
+	a, err := h.send(ctx, c.Path[0].Address, fresh, m, s.head.Attempt)
+	if err != nil {
+		if ctx.Err() == nil && refusedConnection(err) {
+			h.suspect(c.Path[0].Server)
+		}
+		s.tell(ctx, flow.Closed{Attempt: c.Attempt, NotSent: notSent(err), Reason: err.Error()})
+		return
+	}
+	opened := answered{flow.Opened{Attempt: c.Attempt, Status: a.status, Answer: a.head}, answerHead{status: a.status, header: a.header}}
+	if a.status/100 != 2 || !a.isEvents() {
+		body, err := a.whole(&h.pool)
+		if err != nil {
+			s.tell(ctx, flow.Closed{Attempt: c.Attempt, Reason: err.Error()})
+			return
+		}
+		opened.head.body = body
+		h.refusal(a, c.Path)
+		if s.tell(ctx, opened) && a.status/100 == 2 && s.tell(ctx, flow.Event{Attempt: c.Attempt, Data: body}) {
+			s.tell(ctx, flow.Closed{Attempt: c.Attempt, Complete: true})
+		}
+		return
+	}
+	if s.tell(ctx, opened) {
+		s.readEvents(ctx, c.Attempt, a)
+		return
+	}
+	a.conn.discard()
+}
+
+func (s *streamRun) readEvents(ctx context.Context, n teaselstream.Attempt, a *answer) {
+	r := bufio.NewReaderSize(a.body, readBuffer)
+	for {
+		data, id, err := readEvent(r)
+		if err == nil {
+			if !s.tell(ctx, flow.Event{Attempt: n, ID: id, Data: data}) {
+				a.conn.discard()
+				return
+			}
+			continue
+		}
+		if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+			a.release(&s.handler.pool)
+			s.tell(ctx, flow.Closed{Attempt: n, Complete: true})
+			return
+		}
+		a.conn.discard()
+		s.tell(ctx, flow.Closed{Attempt: n, Reason: err.Error()})
+		return
+	}
+}
+
+// suspect has a server that refused a connection probed, so that other requests avoid it if it is gone.
+func (h *Handler) suspect(id teaselstream.ServerID) {
+	m := h.View().Members[id]
+	if m == nil || m.State == fleet.Down {
+		return
+	}
+	h.Post(fleet.Silent{Server: id, Incarnation: m.Incarnation, Reason: "connection not established"})
+}
+
+// refusal tells the control side which server refused work as not run.
+func (h *Handler) refusal(a *answer, path teaselstream.Path) {
+	if !a.head.NotRun {
+		return
+	}
+	id := path[0].Server
+	if m := h.View().ByAddress(a.head.Fault); a.head.Fault != "" && m != nil {
+		id = m.ID
+	}
+	h.Post(fleet.Refused{Server: id, Misplaced: a.status == http.StatusMisdirectedRequest})
+}
+
+func (s *streamRun) probe(c flow.Probe) {
+	h := s.handler
+	silent, stalled := h.prober.path(h, h.View(), c.Path, s.head.Attempt)
+	s.log("PathProbed", slog.LevelInfo, "attempt", c.Attempt, "waitedMs", c.Waited.Milliseconds(), "silent", silent, "stalled", stalled)
+	s.tell(context.Background(), flow.Probed{Attempt: c.Attempt, Silent: silent, Stalled: stalled})
+}
+
+func (s *streamRun) repath(c flow.Repath) {
+	ctx, cancel := context.WithTimeout(context.Background(), orderWait)
+	defer cancel()
+	err := s.handler.Replicas.Repath(ctx, s.head.Attempt, c.Path)
+	s.log("RequestMoved", slog.LevelInfo, "attempt", c.Attempt, "reason", c.Reason, "error", errorText(err))
+	s.tell(context.Background(), flow.Repathed{Attempt: c.Attempt, Err: err})
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// deliver hands an event to the caller; it returns false if the caller cannot be reached.
+func (s *streamRun) deliver(c flow.Deliver) bool {
+	now := time.Now()
+	if !s.Begun() {
+		a := s.answers[c.Attempt]
+		if a == nil || s.Begin(a.status, a.header) != nil {
+			return false
+		}
+		s.first = now.Sub(s.Arrived)
+		s.class.FirstToken(s.first)
+	} else {
+		s.pauses = max(s.pauses, now.Sub(s.lastAt))
+		s.class.TokenGap(now.Sub(s.lastAt))
+	}
+	s.lastAt = now
+	s.events++
+	return s.Write(c.Data) == nil
+}
+
+func (s *streamRun) passOn(c flow.PassOn) {
+	a := s.answers[c.Attempt]
+	if a == nil {
+		s.refuse(http.StatusBadGateway, &teaselstream.Error{Code: teaselstream.CodeServerLost, Message: "answer is lost"})
+		return
+	}
+	if err := s.Answer(a.status, a.header, a.body); err != nil {
+		s.log("AnswerNotDelivered", slog.LevelInfo, "error", err.Error())
+	}
+	s.finished("PassedOn", teaselstream.Ran)
+}
+
+func (s *streamRun) finish(c flow.Finish) {
+	switch {
+	case c.Refusal != nil:
+		s.refuse(statusOf(c.Refusal), c.Refusal)
+	case c.Complete:
+		if err := s.End(); err != nil {
+			s.Cut()
+			s.log("AnswerNotDelivered", slog.LevelInfo, "error", err.Error())
+		}
+		s.finished("", teaselstream.Ran)
+	default:
+		s.Cut()
+		s.finished(teaselstream.CodeServerLost, teaselstream.Unknown)
+	}
+}
+
+func (s *streamRun) finished(code teaselstream.Code, o teaselstream.Outcome) {
+	s.ended(code, o)
+	s.log("RequestEnded", slog.LevelInfo, "code", string(code), "firstMs", s.first.Milliseconds(), "events", s.events,
+		"longestPauseMs", s.pauses.Milliseconds(), "attempts", s.core.Attempt, "moves", s.moves, "path", s.core.Path.Servers())
+}
--- /dev/null
+++ b/sock/quiet.go
@@ -0,0 +1,25 @@
+package sock
+
+import (
+	"net"
+	"syscall"
+)
+
+// Quiet reports whether an idle connection is open and holds no unread data.
+func Quiet(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN //nolint:errorlint // Recvfrom returns a plain Errno.
+	})
+	return quiet && err == nil
+}
--- a/store.go
+++ b/store.go
@@ -25,4 +25,23 @@
 		// Watch waits until the key's revision exceeds after, and returns ErrNotFound if it stays absent.
 		Watch(ctx context.Context, key string, after Revision) (Record, error)
 	}
+
+	// Entry is one key of the store at one revision.
+	Entry struct {
+		Key      string
+		Value    []byte
+		Revision Revision
+		// Deleted marks the removal of the key; Value is then empty.
+		Deleted bool
+	}
+
+	// Directory is a store whose keys can be listed and followed by prefix.
+	Directory interface {
+		Store
+		// List returns all entries below a prefix, and the revision to follow them from.
+		List(ctx context.Context, prefix string) ([]Entry, Revision, error)
+		// Follow waits for changes below a prefix and returns the revision to continue from.
+		// It wraps ErrCompacted if the changes since after are no longer kept.
+		Follow(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Entry, Revision, error)
+	}
 )
