--- a/chain/chain.go
+++ b/chain/chain.go
@@ -10,15 +10,17 @@
 
 const (
 	// crossCost is added where a path enters another failure domain; activations share one slow pipe for each pair of domains.
-	crossCost = 3 * time.Second
+	crossCost = 700 * time.Millisecond
 	// awayCost is added if the first part is outside this VM's failure domain; the answer then crosses domains.
-	awayCost = 600 * time.Millisecond
+	awayCost = 400 * time.Millisecond
 	// leavingCost keeps work away from servers that leave, unless nothing else covers a layer.
 	leavingCost = 20 * time.Second
 	// pausedCost keeps work away from servers that have just refused some.
 	pausedCost = 2 * time.Second
 	// fullCost is added for a part whose memory the running requests would exceed.
 	fullCost = 4 * time.Second
+	// loadWeight scales how much a part in use costs more than an idle one.
+	loadWeight = 6.0
 	// hopTime is the network and queueing time of one part for one pass.
 	hopTime = 500 * time.Microsecond
 	// jitter is the largest random share added to a part's cost, so that VMs with the same view do not choose alike.
@@ -157,7 +159,7 @@
 	stride := max(s.engine.Stride, 1)
 	busy := s.step(m, r)*time.Duration(answer) + hopTime*time.Duration(answer/stride+1) + s.read(m, r)
 	load := s.load(m)
-	factor := 1 + 3*load*load
+	factor := 1 + loadWeight*load*load
 	if s.planner.Rand != nil {
 		factor *= 1 + jitter*s.planner.Rand.Float64()
 	}
--- a/cover/cover.go
+++ b/cover/cover.go
@@ -11,8 +11,10 @@
 const (
 	// rankDelay is how long a need must last before the next VM in rank meets it; an order and its load take up to 2 s to show in the list.
 	rankDelay = 2500 * time.Millisecond
-	// settleTime is the wait after the start, in which the VMs and servers of a domain appear.
+	// settleTime is the wait after the start, in which the VMs of a domain appear.
 	settleTime = 1200 * time.Millisecond
+	// growTime is how long a domain's list must not have grown before its first layout; servers register with their heartbeats.
+	growTime = 1500 * time.Millisecond
 	// doubtTime is how long a server that does not answer still counts as a holder while other copies serve.
 	doubtTime = 1500 * time.Millisecond
 	// idleTime is how long an empty server is kept for a loss before it takes a range that is already held.
@@ -38,6 +40,13 @@
 		// needs holds since when each domain needs what.
 		needs map[string]time.Time
 		empty map[teaselstream.ServerID]time.Time
+		grown map[teaselstream.DomainID]growth
+	}
+
+	// growth is the largest number of servers seen in a domain, and when it was first seen.
+	growth struct {
+		servers int
+		at      time.Time
 	}
 
 	order struct {
@@ -77,6 +86,7 @@
 		d.orders = make(map[teaselstream.ServerID]*order)
 		d.needs = make(map[string]time.Time)
 		d.empty = make(map[teaselstream.ServerID]time.Time)
+		d.grown = make(map[teaselstream.DomainID]growth)
 		d.started = now
 	}
 	switch m := m.(type) {
--- a/cover/layout.go
+++ b/cover/layout.go
@@ -9,10 +9,11 @@
 )
 
 const (
-	// secondCopyFree is the least share of a domain's memory that two copies must leave for requests.
-	secondCopyFree = 0.12
-	// moreCopiesFree is the least share that a third and further copy must leave.
-	moreCopiesFree = 0.5
+	// copyFree is the least share of a domain's memory that a further copy must leave for requests. Memory for
+	// requests binds before processing does, and another domain's copy serves while a lost range is loaded again.
+	copyFree = 0.48
+	// maxCopyServers is the most servers that one copy is cut over, so that paths with some shared parts stay below their longest length.
+	maxCopyServers = 20
 	// minTokens is the least memory for requests, in tokens, that a server keeps beside its layers.
 	minTokens = 6000
 )
@@ -32,11 +33,10 @@
 	n := 1
 	for ; n < len(members); n++ {
 		free := 1 - float64(weights)*float64(n+1)/float64(memory)
-		least := moreCopiesFree
-		if n == 1 {
-			least = secondCopyFree
+		if most < (n+1)*int(e.Layers) {
+			break
 		}
-		if free < least || most < (n+1)*int(e.Layers) {
+		if free < copyFree && len(members) <= n*maxCopyServers {
 			break
 		}
 	}
--- a/cover/survey.go
+++ b/cover/survey.go
@@ -86,6 +86,9 @@
 		return nil
 	}
 	if s.blank() {
+		if s.growing() {
+			return nil
+		}
 		return s.first()
 	}
 	var out []Hold
@@ -104,6 +107,16 @@
 	return !slices.ContainsFunc(s.held, func(n int) bool { return n > 0 }) && len(s.leaving) == 0 && len(s.doubtful) == 0
 }
 
+// growing reports whether servers of the domain have appeared a short while ago.
+func (s *survey) growing() bool {
+	g := s.decider.grown[s.domain]
+	if len(s.live) > g.servers {
+		g = growth{len(s.live), s.now}
+		s.decider.grown[s.domain] = g
+	}
+	return s.now.Sub(g.at) < growTime
+}
+
 func (s *survey) first() []Hold {
 	ranges := layout(s.engine, s.live)
 	var out []Hold
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -9,10 +9,10 @@
 const (
 	// firstProbe is the wait for the first event before the path is probed: well under the usual objective of 500 ms, so that another path can still meet it.
 	firstProbe = 170 * time.Millisecond
-	// eventProbe is the least wait for a further event before the path is probed; usual events are 30 to 60 ms apart.
-	eventProbe = 90 * time.Millisecond
+	// eventProbe is the least wait for a further event before the path is probed; the longest pauses of a loaded path are 130 ms.
+	eventProbe = 140 * time.Millisecond
 	// gapShare is the part of the allowed pause that may pass before the path is probed.
-	gapShare = 0.5
+	gapShare = 0.75
 	// paceFactor is how many usual pauses may pass before the path is probed.
 	paceFactor = 3.0
 	// probeGrowth spaces further probes of a path whose servers all answer.
