chain, cover: balance by the load that servers state; orders by VMs of the domain

Cause: every VM saw only its own requests, so one head of a path took 40% of all streams and ran all of its 192 slots (waiting 6 to 15) while another ran 80. A VM outside a cut domain took its servers for lost and ordered ranges there, and servers that had taken over layers kept them.

--- a/chain/chain.go
+++ b/chain/chain.go
@@ -21,6 +21,8 @@
 	fullCost = 4 * time.Second
 	// loadWeight scales how much a part in use costs more than an idle one.
 	loadWeight = 6.0
+	// headWeight scales how much the load of a path's first part adds, in usual times of a whole request.
+	headWeight = 4.0
 	// hopTime is the network and queueing time of one part for one pass.
 	hopTime = 500 * time.Microsecond
 	// jitter is the largest random share added to a part's cost, so that VMs with the same view do not choose alike.
@@ -70,6 +72,8 @@
 		boundaries []teaselstream.Layer
 		domains    []teaselstream.DomainID
 		states     [][]state
+		// usual is the time of the request on a path of mean pace.
+		usual time.Duration
 	}
 )
 
@@ -81,6 +85,7 @@
 	s := &search{planner: p, now: now, view: v, engine: v.Routing.Pools[a.Service].Engine, ask: a}
 	members := s.usable()
 	s.index(members)
+	s.usual = s.usualTime(members)
 	for i := range s.boundaries {
 		for _, m := range members {
 			if from := s.boundaries[i]; m.Holds.Contains(from) {
@@ -164,6 +169,10 @@
 		factor *= 1 + jitter*s.planner.Rand.Float64()
 	}
 	total := time.Duration(float64(busy) * factor)
+	if r.From == 0 {
+		// The first part's load stands for the whole path, since the servers behind it state theirs only when probed.
+		total += time.Duration(headWeight * load * load * float64(s.usual))
+	}
 	if load > 1 {
 		total += time.Duration(float64(fullCost) * load)
 	}
@@ -180,6 +189,19 @@
 	return float64(r.Len()) / float64(max(s.engine.Layers, 1))
 }
 
+// usualTime returns the time of the request's answer on servers of mean pace, weighted by the layers that they hold.
+func (s *search) usualTime(members []*fleet.Member) time.Duration {
+	var sum, layers float64
+	for _, m := range members {
+		sum += float64(m.Holds.Len()) * s.engine.Kinds[m.Accelerator].Pace
+		layers += float64(m.Holds.Len())
+	}
+	if layers == 0 {
+		return 0
+	}
+	return time.Duration(float64(s.engine.Step) * sum / layers * float64(max(s.ask.AnswerTokens, 1)))
+}
+
 // step returns the time of one token on a part.
 func (s *search) step(m *fleet.Member, r teaselstream.LayerRange) time.Duration {
 	pace := s.engine.Kinds[m.Accelerator].Pace
@@ -196,15 +218,21 @@
 	return time.Duration(seconds * s.share(r) * max(pace, 1) * max(m.Slowdown, 1) * float64(time.Second))
 }
 
-// load estimates the share of a part's request memory in use with this request, from this VM's own
-// requests and the number of VMs that send to the same failure domain.
+// load estimates the share of a part's slots or request memory in use with this request. Without a recent statement
+// of the server it is taken from this VM's own requests and the number of VMs in the server's failure domain.
 func (s *search) load(m *fleet.Member) float64 {
+	slots := max(m.Slots, 1)
+	running, ok := m.Use.Running(s.now)
+	if !ok {
+		running = int(m.Use.Requests.Load()) * s.view.DomainVMs(m.Domain)
+	}
 	capacity := s.engine.CacheTokens(m.Accelerator, m.Holds.Len())
 	if capacity <= 0 {
 		return 2
 	}
-	own := float64(m.Use.Tokens.Load()) * float64(s.view.DomainVMs(m.Domain))
-	return (own + float64(s.ask.PromptTokens+s.ask.AnswerTokens)) / float64(capacity)
+	usual := s.engine.UsualPrompt + s.engine.UsualAnswer/2
+	memory := float64(running*max(usual, 1)+s.ask.PromptTokens+s.ask.AnswerTokens) / float64(capacity)
+	return max(float64(running+1)/float64(slots), memory)
 }
 
 func (s *search) best() (teaselstream.Path, time.Duration, bool) {
--- a/cover/cover.go
+++ b/cover/cover.go
@@ -138,7 +138,9 @@
 	return out
 }
 
-// rank returns this VM's place among those that may give orders in a domain; VMs of the domain go first.
+// rank returns this VM's place among those that may give orders in a domain, or a negative number if it may not.
+// VMs of other domains give orders only while none of the domain is registered, since a cut between the domains
+// looks to them like a loss of its servers.
 func (d *Decider) rank(v *fleet.View, domain teaselstream.DomainID) int {
 	var near, far []teaselstream.VMID
 	for _, p := range v.Peers {
@@ -148,14 +150,16 @@
 			far = append(far, p.Name)
 		}
 	}
-	all := append(teaselstream.Rendezvous(string(domain), near), teaselstream.Rendezvous(string(domain), far)...)
-	if i := slices.Index(all, d.VM); i >= 0 {
-		return i
-	}
 	if domain == d.Domain {
+		if i := slices.Index(teaselstream.Rendezvous(string(domain), near), d.VM); i >= 0 {
+			return i
+		}
 		return len(near)
 	}
-	return len(all) + 1
+	if len(near) > 0 || v.StoreLost {
+		return -1
+	}
+	return slices.Index(teaselstream.Rendezvous(string(domain), far), d.VM)
 }
 
 func (d *Decider) domain(now time.Time, v *fleet.View, pool *teaselstream.Pool, domain teaselstream.DomainID) []teaselstream.Cmd {
@@ -172,7 +176,7 @@
 		d.needs[key] = now
 	}
 	rank := d.rank(v, domain)
-	if now.Sub(since) < time.Duration(rank)*rankDelay {
+	if rank < 0 || now.Sub(since) < time.Duration(rank)*rankDelay {
 		return nil
 	}
 	var cmds []teaselstream.Cmd
--- a/cover/survey.go
+++ b/cover/survey.go
@@ -139,7 +139,7 @@
 	}
 	gap, ok := s.gap()
 	if !ok {
-		return Hold{}, false
+		return s.shrink()
 	}
 	if h, ok := s.extend(gap); ok {
 		return h, true
@@ -364,3 +364,33 @@
 	}
 	return n - gap.Len()
 }
+
+// shrink lets a server that took over layers give up those that others hold again, so that its memory serves requests.
+func (s *survey) shrink() (Hold, bool) {
+	for _, m := range s.live {
+		if !s.free(m) || m.Holds.Len() <= s.usualLayers(m)+shrinkSlack {
+			continue
+		}
+		r := m.Holds
+		for r.Len() > s.usualLayers(m) && s.surplus(r.From) {
+			r.From++
+		}
+		for r.Len() > s.usualLayers(m) && s.surplus(r.To-1) {
+			r.To--
+		}
+		if r == m.Holds {
+			continue
+		}
+		s.give(m, r)
+		return hold(m, r, "give up layers that others hold"), true
+	}
+	return Hold{}, false
+}
+
+// shrinkSlack is how many layers over its usual number a server keeps.
+const shrinkSlack = 1
+
+// surplus reports whether a layer has more holders that serve than the domain needs.
+func (s *survey) surplus(l teaselstream.Layer) bool {
+	return s.held[l] > s.copies && s.ready[l] > s.copies
+}
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -232,6 +232,9 @@
 	if m.Report.Pace > 0 {
 		r.Slowdown = m.Report.Pace
 	}
+	if m.Report.CacheTotal > 0 {
+		r.Use.Observe(now, m.Report.Running+m.Report.Waiting, float64(m.Report.CacheUsed)/float64(m.Report.CacheTotal))
+	}
 	var cmds []teaselstream.Cmd
 	if r.State == Down {
 		r.State, r.DownSince = Serving, time.Time{}
--- /dev/null
+++ b/fleet/use.go
@@ -0,0 +1,63 @@
+package fleet
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// loadTrust is how long a server's statement of its load is corrected by own requests; a stream lasts some seconds.
+	loadTrust = 3 * time.Second
+)
+
+type (
+	// Use counts the work that this VM has in progress at one server, and the load that the server last stated.
+	// It is shared by all views and safe for use by many goroutines.
+	Use struct {
+		// Tokens is the sum of prompt and answer sizes of running model requests.
+		Tokens atomic.Int64
+		// Requests counts running requests.
+		Requests atomic.Int64
+
+		mu     sync.Mutex
+		stated stated
+	}
+
+	// stated is a server's own statement, with the requests that this VM had there at that time.
+	stated struct {
+		at      time.Time
+		running int
+		cache   float64
+		own     int64
+	}
+)
+
+// Observe records the running and waiting requests that a server states, and the share of its memory in use; a
+// negative share means that it did not say.
+func (u *Use) Observe(now time.Time, running int, cache float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if cache < 0 {
+		cache = u.stated.cache
+	}
+	u.stated = stated{at: now, running: running, cache: cache, own: u.Requests.Load()}
+}
+
+// Running estimates the requests at the server, from its last statement and what this VM sent and ended since;
+// ok is false if there is no recent statement.
+func (u *Use) Running(now time.Time) (n int, ok bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.stated.at.IsZero() || now.Sub(u.stated.at) > loadTrust {
+		return 0, false
+	}
+	return max(u.stated.running+int(u.Requests.Load()-u.stated.own), 0), true
+}
+
+// Cache returns the share of memory that the server last stated; ok is false if there is no recent statement.
+func (u *Use) Cache(now time.Time) (share float64, ok bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.stated.cache, !u.stated.at.IsZero() && now.Sub(u.stated.at) <= loadTrust
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"sync/atomic"
 	"time"
 
 	"github.com/teaselstream/teaselstream"
@@ -11,14 +10,6 @@
 	// State is the judgement of a backend server.
 	State uint8
 
-	// Use counts the work that this VM has in progress at one server; it is shared by all views.
-	Use struct {
-		// Tokens is the sum of prompt and answer sizes of running model requests.
-		Tokens atomic.Int64
-		// Requests counts running requests.
-		Requests atomic.Int64
-	}
-
 	// Member is a backend server as traffic sees it.
 	Member struct {
 		teaselstream.Replica
--- a/proxy/prober.go
+++ b/proxy/prober.go
@@ -63,6 +63,8 @@
 		cancel()
 		if err == nil {
 			h.Post(fleet.Reported{Server: id, Report: report})
+			h.Log.Info("ServerReport", "server", string(id), "holds", report.Holds.String(), "running", report.Running, "waiting", report.Waiting,
+				"cacheUsed", report.CacheUsed, "cacheTotal", report.CacheTotal, "pace", report.Pace, "busy", report.Busy, "stalled", len(report.Stalled))
 			return report, nil
 		}
 	}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -142,7 +142,8 @@
 		c.answer(x)
 		s.active.Add(-1)
 		c.busy.Store(false)
-		if x.close || !x.ended {
+		// An answer that began before the stop did not ask the caller to leave.
+		if x.close || !x.ended || s.stopping.Load() {
 			return
 		}
 	}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -141,6 +141,7 @@
 		now = time.Now()
 		if a, ok := m.(answered); ok {
 			s.answers[a.Attempt] = &a.head
+			s.observe(now, a.Opened)
 			return s.core.Update(now, a.Opened)
 		}
 		return s.core.Update(now, m)
@@ -155,6 +156,16 @@
 	}
 }
 
+// observe records the load that the first server of the path states in its answer.
+func (s *streamRun) observe(now time.Time, o flow.Opened) {
+	if !o.Answer.HasLoad || o.Attempt != s.core.Attempt {
+		return
+	}
+	if m := s.handler.View().Members[s.core.Path[0].Server]; m != nil {
+		m.Use.Observe(now, o.Answer.Running+o.Answer.Waiting, -1)
+	}
+}
+
 // watch tells the core what a new view says of the servers on its path.
 func (s *streamRun) watch(now time.Time) []teaselstream.Cmd {
 	v := s.handler.View()
