--- a/flow/message.go
+++ b/flow/message.go
@@ -38,8 +38,8 @@
 	// Probed brings the results of a Probe.
 	Probed struct {
 		Attempt teaselstream.Attempt
-		// Silent holds the servers that did not answer.
-		Silent []teaselstream.ServerID
+		// Silent says that the first server did not answer.
+		Silent bool
 		// Stalled is the address of the part that the first server waits for, or empty.
 		Stalled string
 	}
@@ -73,7 +73,7 @@
 		Reason  string
 	}
 
-	// Probe asks all servers of a path for their reports.
+	// Probe asks the first server of a path what the request waits for.
 	Probe struct {
 		Attempt teaselstream.Attempt
 		Path    teaselstream.Path
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -7,16 +7,13 @@
 )
 
 const (
-	// firstProbe is the wait for the first event before the path is probed: well under the usual objective of 500 ms, so that another path can still meet it.
-	firstProbe = 170 * time.Millisecond
-	// eventProbe is the least wait for a further event before the path is probed; the longest pauses of a loaded path are 130 ms.
-	eventProbe = 140 * time.Millisecond
-	// gapShare is the part of the allowed pause that may pass before the path is probed.
-	gapShare = 0.75
-	// paceFactor is how many usual pauses may pass before the path is probed.
-	paceFactor = 3.0
+	// firstProbe is the wait for the first event before the first server is asked what the request waits for: over the
+	// age of its figures, and well under the usual objective of 500 ms, so that another path can still meet it.
+	firstProbe = 230 * time.Millisecond
+	// eventProbe is the same wait for a further event; the longest pauses of a loaded path are 130 ms.
+	eventProbe = 230 * time.Millisecond
 	// probeGrowth spaces further probes of a path whose servers all answer.
-	probeGrowth = 2.0
+	probeGrowth = 1.6
 	// hungTime is the silence after which a path whose servers all answer is given up. Callers leave after 2 s without an event.
 	hungTime = 1100 * time.Millisecond
 	// maxOpens bounds the times a request is sent, refused ones included.
@@ -49,8 +46,6 @@
 		MayRetry func() bool
 		// Resumable says that the stream may go on at another server.
 		Resumable bool
-		// Gap is the longest pause between events of an answer in time; 0 means none is stated.
-		Gap time.Duration
 		// MaxServers bounds the servers on which the request may run.
 		MaxServers int
 		// LastEvent is the last event that the caller has from an earlier request.
@@ -78,10 +73,8 @@
 		moving    bool
 		opened    bool
 		begun     bool
-		// gap is the mean pause between events.
-		gap    time.Duration
-		reopen time.Time
-		done   bool
+		reopen    time.Time
+		done      bool
 	}
 )
 
@@ -223,7 +216,6 @@
 		return nil
 	}
 	s.note()
-	pause := now.Sub(s.progress)
 	s.progress = now
 	if m.ID != 0 && m.ID <= s.last {
 		return nil
@@ -231,25 +223,14 @@
 	if m.ID != 0 && s.last != 0 && m.ID != s.last+1 {
 		return append([]teaselstream.Cmd{Abort{s.Attempt, "events are missing"}}, s.again(now, "events are missing")...)
 	}
-	if s.delivered {
-		s.gap = (3*s.gap + pause) / 4
-	}
 	if m.ID != 0 {
 		s.last = m.ID
 	}
 	s.delivered = true
-	s.probeWait = s.eventWait()
+	s.probeWait = eventProbe
 	return []teaselstream.Cmd{Deliver{s.Attempt, m.Data}}
 }
 
-func (s *Stream) eventWait() time.Duration {
-	w := max(eventProbe, time.Duration(paceFactor*float64(s.gap)))
-	if s.Gap > 0 {
-		w = min(w, max(eventProbe, time.Duration(gapShare*float64(s.Gap))))
-	}
-	return w
-}
-
 func (s *Stream) onClosed(now time.Time, m Closed) []teaselstream.Cmd {
 	if m.Attempt != s.Attempt || !s.reopen.IsZero() {
 		return nil
@@ -316,8 +297,8 @@
 	}
 	s.probing = false
 	stalled := s.Planner.Resolve(m.Stalled)
-	for _, id := range m.Silent {
-		s.avoid[id] = true
+	if m.Silent {
+		s.avoid[s.Path[0].Server] = true
 	}
 	if stalled != "" && stalled != s.Path[0].Server {
 		s.avoid[stalled] = true
--- a/proxy/prober.go
+++ b/proxy/prober.go
@@ -13,7 +13,7 @@
 	// probeTimeout bounds the wait for a server's report, which needs no slot and takes some milliseconds.
 	probeTimeout = 90 * time.Millisecond
 	// probeShare is how long a probe's result serves other streams.
-	probeShare = 150 * time.Millisecond
+	probeShare = 100 * time.Millisecond
 )
 
 type (
@@ -71,39 +71,3 @@
 	h.Post(fleet.Silent{Server: id, Incarnation: incarnation, Reason: err.Error()})
 	return report, err
 }
-
-// path probes all servers of a path at once and returns those that do not answer, and the part that the
-// first one waits for.
-func (p *prober) path(h *Handler, v *fleet.View, path teaselstream.Path, id teaselstream.AttemptID) ([]teaselstream.ServerID, string) {
-	var wait sync.WaitGroup
-	errs := make([]error, len(path))
-	stalled := ""
-	for i, part := range path {
-		m := v.Members[part.Server]
-		if m == nil {
-			continue
-		}
-		wait.Add(1)
-		go func() {
-			defer wait.Done()
-			report, err := p.read(h, m)
-			errs[i] = err
-			if i > 0 || err != nil {
-				return
-			}
-			for _, s := range report.Stalled {
-				if s.Attempt == id {
-					stalled = s.Address
-				}
-			}
-		}()
-	}
-	wait.Wait()
-	var silent []teaselstream.ServerID
-	for i, err := range errs {
-		if err != nil {
-			silent = append(silent, path[i].Server)
-		}
-	}
-	return silent, stalled
-}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -97,7 +97,7 @@
 			Service: r.pool.Service, PromptTokens: r.head.PromptTokens, AnswerTokens: answerTokens,
 		}},
 		MayRetry:  func() bool { return h.Budget.Retry(time.Now()) },
-		Resumable: r.route.Resumable || r.route.Idempotent, Gap: r.route.Gap, MaxServers: max(r.route.MaxServers, 1), LastEvent: r.head.LastEvent,
+		Resumable: r.route.Resumable || r.route.Idempotent, MaxServers: max(r.route.MaxServers, 1), LastEvent: r.head.LastEvent,
 	}
 	defer s.end()
 	cmds := s.core.Update(time.Now(), flow.Start{})
@@ -345,9 +345,23 @@
 
 func (s *streamRun) probe(c flow.Probe) {
 	h := s.handler
-	silent, stalled := h.prober.path(h, h.View(), c.Path, s.head.Attempt)
-	s.log("PathProbed", slog.LevelInfo, "attempt", c.Attempt, "waitedMs", c.Waited.Milliseconds(), "silent", silent, "stalled", stalled)
-	s.tell(context.Background(), flow.Probed{Attempt: c.Attempt, Silent: silent, Stalled: stalled})
+	v := h.View()
+	head := v.Members[c.Path[0].Server]
+	if head == nil {
+		s.tell(context.Background(), flow.Probed{Attempt: c.Attempt, Silent: true})
+		return
+	}
+	report, err := h.prober.read(h, head)
+	stalled := report.WaitsFor(s.head.Attempt)
+	s.log("PathProbed", slog.LevelInfo, "attempt", c.Attempt, "server", string(head.ID), "waitedMs", c.Waited.Milliseconds(),
+		"stalled", stalled, "running", report.Running, "waiting", report.Waiting, "error", errorText(err))
+	s.tell(context.Background(), flow.Probed{Attempt: c.Attempt, Silent: err != nil, Stalled: stalled})
+	if m := v.ByAddress(stalled); stalled != "" && m != nil {
+		// Other streams leave the part too if it does not answer itself. The result reaches them with the next view.
+		if _, err := h.prober.read(h, m); err != nil {
+			s.log("PartSilent", slog.LevelInfo, "server", string(m.ID), "error", err.Error())
+		}
+	}
 }
 
 func (s *streamRun) repath(c flow.Repath) {
--- a/replica.go
+++ b/replica.go
@@ -143,6 +143,16 @@
 	}
 )
 
+// WaitsFor returns the address of the part that a request waits for, or an empty one.
+func (r *ReplicaReport) WaitsFor(a AttemptID) string {
+	for _, s := range r.Stalled {
+		if s.Attempt == a {
+			return s.Address
+		}
+	}
+	return ""
+}
+
 // Servers returns the servers of a path in order.
 func (p Path) Servers() []ServerID {
 	ids := make([]ServerID, len(p))
