--- a/admit/window.go
+++ b/admit/window.go
@@ -7,8 +7,9 @@
 
 // WindowBudget bounds this VM's part of the attempts beyond the first that all VMs share in a sliding window.
 //
-// It is a token bucket: half of the allowance is saved up at most and half is refilled over each window, so that no
-// window sees more than the allowance and a share of the requests. It is safe for use by many goroutines.
+// It is a token bucket that starts empty, since a VM that restarts does not know what it spent before. Half of the
+// allowance is saved up at most and half is refilled over each window, so that no window sees more than the allowance
+// and a share of the requests. It is safe for use by many goroutines.
 type WindowBudget struct {
 	mu sync.Mutex
 	// ratio is the number of retries that each request allows.
@@ -18,22 +19,18 @@
 	window    time.Duration
 	tokens    float64
 	at        time.Time
-	set       bool
 }
 
-// Set changes the limits; a first call fills the bucket.
+// Set changes the limits.
 func (b *WindowBudget) Set(ratio, allowance float64, window time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ratio, b.allowance, b.window = ratio, allowance, window
-	if !b.set {
-		b.tokens, b.set = allowance/2, true
-	}
 	b.tokens = min(b.tokens, b.limit())
 }
 
-// limit bounds the tokens saved up; a tenth of the requests' share may be saved beyond the allowance.
-func (b *WindowBudget) limit() float64 { return b.allowance/2 + 5*b.ratio }
+// limit bounds the tokens saved up.
+func (b *WindowBudget) limit() float64 { return b.allowance / 2 }
 
 // Request counts the first attempt of a request.
 func (b *WindowBudget) Request() {
--- a/chain/chain.go
+++ b/chain/chain.go
@@ -232,7 +232,8 @@
 	}
 	usual := s.engine.UsualPrompt + s.engine.UsualAnswer/2
 	memory := float64(running*max(usual, 1)+s.ask.PromptTokens+s.ask.AnswerTokens) / float64(capacity)
-	return max(float64(running+1)/float64(slots), memory)
+	share, _ := m.Use.Cache(s.now)
+	return max(float64(running+1)/float64(slots), memory, share)
 }
 
 func (s *search) best() (teaselstream.Path, time.Duration, bool) {
--- a/cmd/gate/serve.go
+++ b/cmd/gate/serve.go
@@ -35,6 +35,11 @@
 	stopTick = 50 * time.Millisecond
 	// sweepPeriod is the time between looks for idle connections to servers.
 	sweepPeriod = time.Second
+	// budgetShare is the part of the retry budget that is used; the rest covers VMs that another VM does not know yet,
+	// and requests that the servers count in another window.
+	budgetShare = 0.85
+	// leastVMs is the number of VMs that share the budget at least, while few have registered after a start.
+	leastVMs = 6
 	// headerTimeout bounds a readiness or metrics request.
 	headerTimeout = 2 * time.Second
 )
@@ -123,7 +128,7 @@
 // shareBudget gives this VM its part of the retries that all VMs share.
 func (p *process) shareBudget(v *fleet.View) {
 	b := p.settings.Load().Bounds
-	p.budget.Set(b.RetryRatio, b.RetrySlack/float64(max(len(v.Peers), 1)), b.RetryWindow)
+	p.budget.Set(budgetShare*b.RetryRatio, budgetShare*b.RetrySlack/float64(max(len(v.Peers), leastVMs)), b.RetryWindow)
 }
 
 func (p *process) follower() *watch.Follower {
--- a/cover/survey.go
+++ b/cover/survey.go
@@ -26,6 +26,9 @@
 		held []int
 		// ready counts the holders of each layer that serve now.
 		ready []int
+		// tokens is the memory for requests of each layer's holders, and meanTokens its mean.
+		tokens     []float64
+		meanTokens float64
 	}
 )
 
@@ -202,6 +205,7 @@
 	s.count(s.held, s.future(m), -1)
 	s.decider.orders[m.ID] = &order{target: r, at: s.now}
 	s.count(s.held, r, 1)
+	s.tokens, s.meanTokens = nil, 0
 }
 
 // window returns the range for an empty server: as many layers as its memory takes at the domain's usual
@@ -243,7 +247,7 @@
 		case n < s.copies:
 			total += shortGain / float64(n)
 		default:
-			total += spareGain / float64(n)
+			total += spareGain * s.tightness(l)
 		}
 	}
 	for _, m := range s.live {
@@ -258,6 +262,23 @@
 	return total
 }
 
+// tightness compares the memory for requests of a layer's holders with the domain's mean; a higher value is tighter.
+func (s *survey) tightness(l teaselstream.Layer) float64 {
+	if s.tokens == nil {
+		s.tokens = make([]float64, s.engine.Layers)
+		for _, m := range s.live {
+			f := s.future(m)
+			for x := max(f.From, 0); x < min(f.To, s.engine.Layers); x++ {
+				s.tokens[x] += float64(s.engine.CacheTokens(m.Accelerator, f.Len()))
+			}
+		}
+		for _, t := range s.tokens {
+			s.meanTokens += t / float64(s.engine.Layers)
+		}
+	}
+	return s.meanTokens / max(s.tokens[l], 1)
+}
+
 func (s *survey) usualLayers(m *fleet.Member) int {
 	var memory teaselstream.Bytes
 	for _, x := range s.live {
@@ -268,22 +289,31 @@
 	return max(1, min(n, s.engine.MaxLayers(m.Accelerator, minTokens)))
 }
 
-// extend lets a neighbour of the gap grow into it without giving anything up.
+// extend lets the neighbours of a gap grow into it without giving anything up. The gap is split between its two sides
+// so that the tighter of the two keeps the most memory for requests; the other side follows with the next order.
 func (s *survey) extend(gap teaselstream.LayerRange) (Hold, bool) {
 	var best *fleet.Member
 	var bestRange teaselstream.LayerRange
-	bestGained, bestTokens := 0, 0
-	for _, m := range s.live {
-		if m.Holds.Empty() || !s.free(m) {
-			continue
-		}
-		r, ok := s.grown(m, gap)
-		if !ok {
-			continue
+	bestLeft, bestTokens := gap.Len()+1, 0
+	for n := 0; n <= gap.Len(); n++ {
+		left, leftTokens := s.neighbour(gap, n, true)
+		right, rightTokens := s.neighbour(gap, gap.Len()-n, false)
+		covered, tokens := 0, 0
+		switch {
+		case left != nil && right != nil:
+			covered, tokens = gap.Len(), min(leftTokens, rightTokens)
+		case left != nil:
+			covered, tokens = n, leftTokens
+		case right != nil:
+			covered, tokens = gap.Len()-n, rightTokens
 		}
-		gained, tokens := r.Len()-m.Holds.Len(), s.engine.CacheTokens(m.Accelerator, r.Len())
-		if gained > bestGained || gained == bestGained && tokens > bestTokens {
-			best, bestRange, bestGained, bestTokens = m, r, gained, tokens
+		open := gap.Len() - covered
+		if open < bestLeft && covered > 0 || open == bestLeft && tokens > bestTokens {
+			m, r := right, teaselstream.LayerRange{From: gap.From + teaselstream.Layer(n), To: gap.To}
+			if left != nil && n > 0 {
+				m, r = left, teaselstream.LayerRange{From: gap.From, To: gap.From + teaselstream.Layer(n)}
+			}
+			best, bestRange, bestLeft, bestTokens = m, joined(m.Holds, r), open, tokens
 		}
 	}
 	if best == nil {
@@ -293,21 +323,32 @@
 	return hold(best, bestRange, "take over lost layers"), true
 }
 
-// grown returns a member's range with as much of the gap as its memory takes, if the range touches the gap.
-func (s *survey) grown(m *fleet.Member, gap teaselstream.LayerRange) (teaselstream.LayerRange, bool) {
-	room := s.engine.MaxLayers(m.Accelerator, emptyFloor) - m.Holds.Len()
-	r := m.Holds
-	switch {
-	case room <= 0:
-		return r, false
-	case r.From <= gap.From && r.To >= gap.From && r.To < gap.To:
-		r.To = min(gap.To, r.To+teaselstream.Layer(room))
-	case r.To >= gap.To && r.From <= gap.To && r.From > gap.From:
-		r.From = max(gap.From, r.From-teaselstream.Layer(room))
-	default:
-		return r, false
-	}
-	return r, true
+// joined returns the range from the beginning of the first to the end of the last of two ranges that touch.
+func joined(a, b teaselstream.LayerRange) teaselstream.LayerRange {
+	return teaselstream.LayerRange{From: min(a.From, b.From), To: max(a.To, b.To)}
+}
+
+// neighbour returns the server at one side of a gap that keeps the most memory for requests when it takes n of the
+// gap's layers on that side; no server is needed for none.
+func (s *survey) neighbour(gap teaselstream.LayerRange, n int, left bool) (*fleet.Member, int) {
+	var best *fleet.Member
+	bestTokens := 0
+	for _, m := range s.live {
+		if n == 0 || m.Holds.Empty() || !s.free(m) {
+			continue
+		}
+		r := teaselstream.LayerRange{From: gap.From, To: gap.From + teaselstream.Layer(n)}
+		touches := m.Holds.From < gap.From && m.Holds.To >= gap.From
+		if !left {
+			r = teaselstream.LayerRange{From: gap.To - teaselstream.Layer(n), To: gap.To}
+			touches = m.Holds.To > gap.To && m.Holds.From <= gap.To
+		}
+		tokens := s.engine.CacheTokens(m.Accelerator, joined(m.Holds, r).Len())
+		if touches && tokens >= emptyFloor && tokens > bestTokens {
+			best, bestTokens = m, tokens
+		}
+	}
+	return best, bestTokens
 }
 
 // move shrinks a server whose layers are all held elsewhere, so that it can take the gap once it is nearly empty.
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -19,6 +19,8 @@
 	probePeriod = 700 * time.Millisecond
 	// refusalPause keeps new work away from a server that was full; its queue drains in some hundred milliseconds.
 	refusalPause = 300 * time.Millisecond
+	// reportEvery spaces the reports that refusals ask for.
+	reportEvery = 600 * time.Millisecond
 	// reportTrust is how long a report's layer range goes before the list's, which is up to two heartbeats old.
 	reportTrust = 2500 * time.Millisecond
 )
@@ -45,7 +47,9 @@
 		// lapsedAt is set while a removal may be a lapse.
 		lapsedAt time.Time
 		probeAt  time.Time
-		leftAt   time.Time
+		// askedAt is when a refusal last had the load read.
+		askedAt time.Time
+		leftAt  time.Time
 	}
 )
 
@@ -267,7 +271,12 @@
 	}
 	r.PausedUntil, c.dirty = now.Add(refusalPause), true
 	if !m.Misplaced {
-		return []teaselstream.Cmd{Note{Event: "ServerPaused", Server: r.ID, Reason: "refused work"}}
+		cmds := []teaselstream.Cmd{Note{Event: "ServerPaused", Server: r.ID, Reason: "refused work"}}
+		if now.Sub(r.askedAt) > reportEvery {
+			r.askedAt = now
+			cmds = append(cmds, ReadReport{Server: r.ID, Address: r.Address, Reason: "refused work"})
+		}
+		return cmds
 	}
 	return []teaselstream.Cmd{ReadReport{Server: r.ID, Address: r.Address, Reason: "does not hold its range"}}
 }
--- a/fleet/use.go
+++ b/fleet/use.go
@@ -59,5 +59,8 @@
 func (u *Use) Cache(now time.Time) (share float64, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.stated.cache, !u.stated.at.IsZero() && now.Sub(u.stated.at) <= loadTrust
+	if u.stated.at.IsZero() || now.Sub(u.stated.at) > loadTrust {
+		return 0, false
+	}
+	return u.stated.cache, true
 }
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -158,6 +158,10 @@
 
 // observe records the load that the first server of the path states in its answer.
 func (s *streamRun) observe(now time.Time, o flow.Opened) {
+	if o.Answer.NotRun {
+		s.log("AttemptRefused", slog.LevelInfo, "attempt", o.Attempt, "status", o.Status, "server", string(s.core.Path[0].Server),
+			"fault", o.Answer.Fault, "running", o.Answer.Running, "waiting", o.Answer.Waiting)
+	}
 	if !o.Answer.HasLoad || o.Attempt != s.core.Attempt {
 		return
 	}
