--- a/flow/stream.go
+++ b/flow/stream.go
@@ -61,6 +61,8 @@
 		avoid map[teaselstream.ServerID]bool
 		// opens counts sends, runs those that may have run, and repaths the moves of this attempt.
 		opens, runs, repaths int
+		// ranOn holds the first servers of the attempts that may have run.
+		ranOn []teaselstream.ServerID
 		// mayHaveRun says that some attempt may have run.
 		mayHaveRun bool
 		last       uint64
@@ -174,7 +176,7 @@
 		if s.delivered {
 			return s.again(now, "failure status")
 		}
-		if s.mayRepeat() && s.runs < s.MaxServers && s.MayRetry() {
+		if s.mayRepeat() && s.counted() < max(s.MaxServers, 1) && s.opens < maxOpens && s.MayRetry() {
 			s.avoid[s.Path[0].Server] = true
 			return append([]teaselstream.Cmd{Abort{s.Attempt, "failure status"}}, s.open(now, "failure status")...)
 		}
@@ -188,6 +190,7 @@
 	if !s.begun {
 		s.begun = true
 		s.runs++
+		s.ranOn = append(s.ranOn, s.Path[0].Server)
 		s.mayHaveRun = true
 	}
 }
@@ -259,12 +262,12 @@
 	return s.open(now, reason)
 }
 
-// counted returns the servers that count against MaxServers: those that have ended do not.
+// counted returns the servers that count against MaxServers: those that have ended since do not.
 func (s *Stream) counted() int {
-	n := s.runs
-	for id := range s.avoid {
-		if s.Planner.Down(id) && n > 0 {
-			n--
+	n := 0
+	for _, id := range s.ranOn {
+		if !s.Planner.Down(id) {
+			n++
 		}
 	}
 	return n
