cover: copies on the fastest servers, memory for 0.6 of the slots; stagger moves

Streams on a draining part all moved at the same moment and waited for each other's tokens to be read. Ruled out: first events (p50 75 ms), refusals (1%).

--- a/cover/layout.go
+++ b/cover/layout.go
@@ -9,114 +9,77 @@
 )
 
 const (
-	// copyFree is the least share of a domain's memory that a further copy must leave for requests. Memory for
-	// requests binds before processing does, and another domain's copy serves while a lost range is loaded again.
-	copyFree = 0.48
-	// maxCopyServers is the most servers that one copy is cut over, so that paths with some shared parts stay below their longest length.
-	maxCopyServers = 20
+	// slotShare is the share of a server's slots for whose usual requests it keeps memory beside its layers. A path runs
+	// at most as many requests as its first server has slots.
+	slotShare = 0.6
+	// defaultSlots and defaultTokens hold where the platform does not state slots or usual sizes.
+	defaultSlots  = 128
+	defaultTokens = 1000
+	// tokenStep lowers the memory for requests until the servers of a domain can hold all layers.
+	tokenStep = 0.85
 	// minTokens is the least memory for requests, in tokens, that a server keeps beside its layers.
 	minTokens = 6000
 )
 
-// copies returns how many copies of all layers a set of servers holds.
-func copies(e *teaselstream.EngineSpec, members []*fleet.Member) int {
-	var memory teaselstream.Bytes
-	most := 0
+// budget is what the servers of a domain hold beside requests.
+type budget struct {
+	// tokens is the memory for requests, in tokens, that every server keeps.
+	tokens int
+	// copies is how many times the servers can hold all layers beside that.
+	copies int
+}
+
+// budgetOf returns the memory that servers keep for requests, lowered as far as needed for one copy of all layers.
+func budgetOf(e *teaselstream.EngineSpec, members []*fleet.Member) budget {
+	slots := defaultSlots
 	for _, m := range members {
-		memory += e.Kinds[m.Accelerator].Memory
-		most += e.MaxLayers(m.Accelerator, minTokens)
+		slots = max(slots, m.Slots)
 	}
-	weights := e.BytesPerLayer * teaselstream.Bytes(e.Layers)
-	if weights <= 0 || memory <= 0 {
-		return 0
+	usual := e.UsualPrompt + e.UsualAnswer/2
+	if usual <= 0 {
+		usual = defaultTokens
 	}
-	n := 1
-	for ; n < len(members); n++ {
-		free := 1 - float64(weights)*float64(n+1)/float64(memory)
-		if most < (n+1)*int(e.Layers) {
-			break
+	for tokens := slotShare * float64(slots*usual); ; tokens *= tokenStep {
+		b := budget{tokens: max(int(tokens), minTokens)}
+		layers := 0
+		for _, m := range members {
+			layers += e.MaxLayers(m.Accelerator, b.tokens)
 		}
-		if free < copyFree && len(members) <= n*maxCopyServers {
-			break
+		b.copies = layers / int(max(e.Layers, 1))
+		if b.copies > 0 || b.tokens == minTokens {
+			return b
 		}
 	}
-	return n
 }
 
-// layout gives every server of a domain a range, for a domain in which none holds any layers.
+// layout gives the servers of a domain ranges, for a domain in which none holds any layers. The fastest servers form
+// as many copies as the memory allows; servers that are left get no range and serve as second holders.
 //
-// Servers are dealt to copies so that the copies have like memory, and each copy is cut in proportion to memory,
-// so that the memory left for requests is even over its layers.
+// A copy of fast servers answers in less time, and needs fewer parts. Cutting layers in proportion to memory instead
+// gives most layers to the slowest kind.
 func layout(e *teaselstream.EngineSpec, members []*fleet.Member) map[teaselstream.ServerID]teaselstream.LayerRange {
-	n := copies(e, members)
-	if n == 0 {
-		return nil
-	}
+	b := budgetOf(e, members)
+	n := max(b.copies, 1)
 	sorted := slices.Clone(members)
-	slices.SortStableFunc(sorted, func(a, b *fleet.Member) int {
-		return cmp.Or(cmp.Compare(e.Kinds[b.Accelerator].Memory, e.Kinds[a.Accelerator].Memory), cmp.Compare(a.ID, b.ID))
+	slices.SortStableFunc(sorted, func(x, y *fleet.Member) int {
+		a, b := e.Kinds[x.Accelerator], e.Kinds[y.Accelerator]
+		return cmp.Or(cmp.Compare(a.Pace, b.Pace), cmp.Compare(b.Memory, a.Memory), cmp.Compare(x.ID, y.ID))
 	})
-	groups := make([][]*fleet.Member, n)
-	sums := make([]teaselstream.Bytes, n)
+	ends := make([]teaselstream.Layer, n)
+	out := make(map[teaselstream.ServerID]teaselstream.LayerRange, len(members))
 	for _, m := range sorted {
 		least := 0
-		for g := range sums {
-			if sums[g] < sums[least] {
-				least = g
+		for c := range ends {
+			if ends[c] < ends[least] {
+				least = c
 			}
 		}
-		groups[least] = append(groups[least], m)
-		sums[least] += e.Kinds[m.Accelerator].Memory
-	}
-	out := make(map[teaselstream.ServerID]teaselstream.LayerRange, len(members))
-	for _, g := range groups {
-		for id, r := range cut(e, g) {
-			out[id] = r
-		}
-	}
-	return out
-}
-
-// cut divides all layers among the servers of one copy, in proportion to memory and within what each holds.
-func cut(e *teaselstream.EngineSpec, members []*fleet.Member) map[teaselstream.ServerID]teaselstream.LayerRange {
-	var memory float64
-	for _, m := range members {
-		memory += float64(e.Kinds[m.Accelerator].Memory)
-	}
-	if memory == 0 {
-		return nil
-	}
-	counts := make([]int, len(members))
-	left := int(e.Layers)
-	for i, m := range members {
-		share := float64(e.Layers) * float64(e.Kinds[m.Accelerator].Memory) / memory
-		counts[i] = min(int(share), e.MaxLayers(m.Accelerator, minTokens), left)
-		left -= counts[i]
-	}
-	for left > 0 {
-		best := -1
-		for i, m := range members {
-			if counts[i] >= e.MaxLayers(m.Accelerator, minTokens) {
-				continue
-			}
-			if best < 0 || e.CacheTokens(m.Accelerator, counts[i]+1) > e.CacheTokens(members[best].Accelerator, counts[best]+1) {
-				best = i
-			}
-		}
-		if best < 0 {
-			break
-		}
-		counts[best]++
-		left--
-	}
-	out := make(map[teaselstream.ServerID]teaselstream.LayerRange, len(members))
-	at := teaselstream.Layer(0)
-	for i, m := range members {
-		to := at + teaselstream.Layer(counts[i])
-		if to > at {
-			out[m.ID] = teaselstream.LayerRange{From: at, To: to}
+		from := ends[least]
+		to := min(from+teaselstream.Layer(e.MaxLayers(m.Accelerator, b.tokens)), e.Layers)
+		if to > from {
+			out[m.ID] = teaselstream.LayerRange{From: from, To: to}
+			ends[least] = to
 		}
-		at = to
 	}
 	return out
 }
--- a/cover/survey.go
+++ b/cover/survey.go
@@ -21,7 +21,7 @@
 		doubtful []*fleet.Member
 		leaving  []*fleet.Member
 		down     int
-		copies   int
+		budget   budget
 		// held counts the holders of each layer that stay, with ranges being loaded.
 		held []int
 		// ready counts the holders of each layer that serve now.
@@ -54,7 +54,7 @@
 		s.count(s.ready, m.Holds, 1)
 		s.count(s.held, s.future(m), 1)
 	}
-	s.copies = copies(e, s.live)
+	s.budget = budgetOf(e, s.live)
 	for id := range d.empty {
 		if !slices.ContainsFunc(members, func(m *fleet.Member) bool { return m.ID == id && m.Holds.Empty() }) {
 			delete(d.empty, id)
@@ -85,7 +85,7 @@
 
 // wants returns the orders that the domain needs now.
 func (s *survey) wants() []Hold {
-	if len(s.live) == 0 || s.copies == 0 || float64(s.down) > maxDown*float64(s.down+len(s.live)) {
+	if len(s.live) == 0 || s.budget.copies == 0 || float64(s.down) > maxDown*float64(s.down+len(s.live)) {
 		return nil
 	}
 	if s.blank() {
@@ -182,7 +182,7 @@
 			since = s.now
 			s.decider.empty[m.ID] = since
 		}
-		short := slices.Min(s.held) < s.copies
+		short := slices.Min(s.held) < s.budget.copies
 		if !hasGap && !short && s.now.Sub(since) < idleTime {
 			continue
 		}
@@ -215,7 +215,7 @@
 	most := s.engine.MaxLayers(m.Accelerator, minTokens) - m.Holds.Len()
 	var best teaselstream.LayerRange
 	bestScore := 0.0
-	for n := max(usual-2, 1); n <= min(usual+3, most); n++ {
+	for n := max(usual-1, 1); n <= min(usual+extraLayers, most); n++ {
 		for from := teaselstream.Layer(0); from+teaselstream.Layer(n) <= s.engine.Layers; from++ {
 			r := teaselstream.LayerRange{From: from, To: from + teaselstream.Layer(n)}
 			score := s.gain(r) - float64(max(n-usual, 0))*overPenalty
@@ -228,10 +228,14 @@
 }
 
 const (
+	// extraLayers is how many layers over its usual number an empty server takes to close a hole.
+	extraLayers = 4
 	// holeGain, shortGain and spareGain weigh a layer that nobody holds, one with too few holders, and any other.
 	holeGain  = 100.0
 	shortGain = 10.0
 	spareGain = 1.0
+	// exposureGain weighs the layers that would be lost with one server.
+	exposureGain = 10.0
 	// overPenalty is the price of a layer beyond the usual number, which takes memory from requests.
 	overPenalty = 4.0
 	// alignGain rewards a window that begins or ends where another server's does, which keeps paths short.
@@ -244,10 +248,10 @@
 		switch n := s.held[l]; {
 		case n == 0:
 			total += holeGain
-		case n < s.copies:
+		case n < s.budget.copies:
 			total += shortGain / float64(n)
 		default:
-			total += spareGain * s.tightness(l)
+			total += spareGain * s.tightness(l) * (1 + s.exposure(l))
 		}
 	}
 	for _, m := range s.live {
@@ -262,6 +266,20 @@
 	return total
 }
 
+// exposure is how much of a copy its largest holder would take away with a layer, which has to be loaded again.
+func (s *survey) exposure(l teaselstream.Layer) float64 {
+	if s.held[l] > s.budget.copies {
+		return 0
+	}
+	largest := 0
+	for _, m := range s.live {
+		if f := s.future(m); f.Contains(l) {
+			largest = max(largest, f.Len())
+		}
+	}
+	return exposureGain * float64(largest) / float64(s.engine.Layers)
+}
+
 // tightness compares the memory for requests of a layer's holders with the domain's mean; a higher value is tighter.
 func (s *survey) tightness(l teaselstream.Layer) float64 {
 	if s.tokens == nil {
@@ -279,14 +297,9 @@
 	return s.meanTokens / max(s.tokens[l], 1)
 }
 
+// usualLayers returns how many layers a server holds beside the domain's memory for requests.
 func (s *survey) usualLayers(m *fleet.Member) int {
-	var memory teaselstream.Bytes
-	for _, x := range s.live {
-		memory += s.engine.Kinds[x.Accelerator].Memory
-	}
-	share := float64(s.engine.Kinds[m.Accelerator].Memory) / float64(max(memory, 1))
-	n := int(share*float64(s.copies)*float64(s.engine.Layers) + 0.5)
-	return max(1, min(n, s.engine.MaxLayers(m.Accelerator, minTokens)))
+	return max(1, s.engine.MaxLayers(m.Accelerator, s.budget.tokens))
 }
 
 // extend lets the neighbours of a gap grow into it without giving anything up. The gap is split between its two sides
@@ -433,5 +446,5 @@
 
 // surplus reports whether a layer has more holders that serve than the domain needs.
 func (s *survey) surplus(l teaselstream.Layer) bool {
-	return s.held[l] > s.copies && s.ready[l] > s.copies
+	return s.held[l] > s.budget.copies && s.ready[l] > s.budget.copies
 }
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -17,8 +17,10 @@
 )
 
 const (
-	// vacateShare is the part of the drain time after which running streams leave a draining part.
-	vacateShare = 0.6
+	// vacateFirst and vacateLast are the shares of the drain time between which running streams leave a draining part,
+	// each at a time of its own, since the new part has to read all tokens of each.
+	vacateFirst = 0.2
+	vacateLast  = 0.85
 	// orderWait bounds a move's order; replicas answer orders in some milliseconds.
 	orderWait = 150 * time.Millisecond
 	// messageRoom lets the reader of an answer run ahead of the caller by some events.
@@ -41,6 +43,8 @@
 		lastAt  time.Time
 		pauses  time.Duration
 		moves   int
+		// draw in [0, 1) spreads what many streams do at the same event.
+		draw float64
 	}
 
 	// answerHead is what is kept of an attempt's answer; body is set for answers that are passed on whole.
@@ -90,7 +94,7 @@
 	answerTokens := r.answerTokens()
 	s := &streamRun{
 		request: r, inbox: make(chan teaselstream.Msg, messageRoom), done: make(chan struct{}), cancel: func() {},
-		answers: make(map[teaselstream.Attempt]*answerHead), tokens: int64(r.head.PromptTokens + answerTokens), lastAt: r.Arrived,
+		answers: make(map[teaselstream.Attempt]*answerHead), tokens: int64(r.head.PromptTokens + answerTokens), lastAt: r.Arrived, draw: h.Rand.Float64(),
 	}
 	s.core.Options = flow.Options{
 		Planner: &streamPlanner{r, chain.Ask{
@@ -173,7 +177,7 @@
 // watch tells the core what a new view says of the servers on its path.
 func (s *streamRun) watch(now time.Time) []teaselstream.Cmd {
 	v := s.handler.View()
-	drain := time.Duration(vacateShare * float64(s.handler.Planner.DrainTime))
+	drain := time.Duration((vacateFirst + (vacateLast-vacateFirst)*s.draw) * float64(s.handler.Planner.DrainTime))
 	var lost []teaselstream.ServerID
 	var cmds []teaselstream.Cmd
 	for _, p := range s.core.Path {
