--- /dev/null
+++ b/cover/cover_test.go
@@ -0,0 +1,156 @@
+package cover
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/fleet"
+)
+
+const testService = teaselstream.ServiceID("model")
+
+// coverScript is one failure domain with its servers and the decider of one VM.
+type coverScript struct {
+	decider Decider
+	view    *fleet.View
+	now     time.Time
+	orders  map[teaselstream.ServerID]Hold
+}
+
+// testEngine has 40 layers of 1 GB and 1 MB of requests for each token.
+func testEngine() *teaselstream.EngineSpec {
+	return &teaselstream.EngineSpec{
+		Layers: 40, BytesPerLayer: 1e9, CacheBytesPerToken: 1e6, UsualPrompt: 800, UsualAnswer: 200,
+		Kinds: map[teaselstream.Accelerator]teaselstream.AcceleratorSpec{
+			"big": {Memory: 60e9, Pace: 2}, "mid": {Memory: 30e9, Pace: 5}, "small": {Memory: 16e9, Pace: 16},
+		},
+	}
+}
+
+// Guards against layers that nobody holds, orders above a server's memory, orders to servers that are only doubtful
+// or still loading, two VMs that order at once, and orders by a VM that is cut off.
+func TestCoverScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &coverScript{now: time.Unix(1000, 0), orders: make(map[teaselstream.ServerID]Hold)}
+		datadriven.RunTest(t, path, s.run)
+	})
+}
+
+func (s *coverScript) run(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "domain":
+		return s.domain(d)
+	case "change":
+		for _, line := range strings.Split(d.Input, "\n") {
+			s.change(t, strings.Fields(line))
+		}
+		return "ok"
+	case "wait":
+		var wait string
+		d.ScanArgs(t, "for", &wait)
+		return s.wait(t, wait)
+	}
+	t.Fatalf("unknown command %s", d.Cmd)
+	return ""
+}
+
+func (s *coverScript) domain(d *datadriven.TestData) string {
+	s.decider = Decider{VM: "vm1", Domain: "zone"}
+	s.orders = make(map[teaselstream.ServerID]Hold)
+	peers := []fleet.Peer{{Name: "vm1", Domain: "zone"}}
+	for _, a := range d.CmdArgs {
+		if a.Key == "peer" {
+			peers = append(peers, fleet.Peer{Name: teaselstream.VMID(a.Vals[0]), Domain: "zone"})
+		}
+		if a.Key == "far" {
+			s.decider.Domain = "other"
+			peers[0].Domain = "other"
+		}
+	}
+	s.view = &fleet.View{
+		Peers: peers, Members: make(map[teaselstream.ServerID]*fleet.Member), Pools: make(map[teaselstream.ServiceID][]*fleet.Member),
+		Routing: &teaselstream.Routing{Pools: map[teaselstream.ServiceID]*teaselstream.Pool{testService: {Service: testService, Engine: testEngine()}}},
+	}
+	for _, line := range strings.Split(d.Input, "\n") {
+		s.add(strings.Fields(line))
+	}
+	return "ok"
+}
+
+// add reads "NAME KIND [FROM-TO]".
+func (s *coverScript) add(f []string) {
+	m := &fleet.Member{Use: &fleet.Use{}, Slowdown: 1}
+	m.ID, m.Address, m.Accelerator, m.Domain, m.Service = teaselstream.ServerID(f[0]), f[0], teaselstream.Accelerator(f[1]), "zone", testService
+	m.Slots = 20
+	if len(f) > 2 {
+		m.Holds = rangeOf(f[2])
+	}
+	s.view.Members[m.ID] = m
+	s.view.Pools[testService] = append(s.view.Pools[testService], m)
+}
+
+func rangeOf(text string) teaselstream.LayerRange {
+	var r teaselstream.LayerRange
+	if _, err := fmt.Sscanf(text, "%d-%d", &r.From, &r.To); err != nil {
+		return teaselstream.LayerRange{}
+	}
+	return r
+}
+
+// change applies "down NAME", "up NAME", "leaving NAME", "gone NAME", "done NAME", "failed NAME" or "new NAME KIND [FROM-TO]".
+func (s *coverScript) change(t *testing.T, f []string) {
+	id := teaselstream.ServerID(f[1])
+	m := s.view.Members[id]
+	switch f[0] {
+	case "down":
+		m.State, m.DownSince = fleet.Down, s.now
+	case "up":
+		m.State = fleet.Serving
+	case "leaving":
+		m.State, m.LeavingSince = fleet.Leaving, s.now
+	case "gone":
+		delete(s.view.Members, id)
+		s.view.Pools[testService] = slices.DeleteFunc(s.view.Pools[testService], func(x *fleet.Member) bool { return x == m })
+	case "done":
+		m.Holds = s.orders[id].Range
+		s.decider.Update(s.now, Ended{Server: id, OK: true})
+	case "failed":
+		s.decider.Update(s.now, Ended{Server: id})
+	case "new":
+		s.add(f[1:])
+	default:
+		t.Fatalf("unknown change %s", f[0])
+	}
+}
+
+// wait lets time pass in ticks and prints the orders.
+func (s *coverScript) wait(t *testing.T, text string) string {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	begin := s.now
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(100 * time.Millisecond) {
+		for _, c := range s.decider.Update(s.now, Viewed{s.view}) {
+			h := c.(Hold)
+			s.orders[h.Server] = h
+			e := testEngine()
+			m := s.view.Members[h.Server]
+			if n := e.CacheTokens(m.Accelerator, h.Range.Len()); n < 0 {
+				t.Errorf("%s is ordered to hold %s, more than its memory", h.Server, h.Range)
+			}
+			fmt.Fprintf(&out, "%s %s %s (had %s): %s\n", s.now.Sub(begin), h.Server, h.Range, h.Holds, h.Reason)
+		}
+	}
+	if out.Len() == 0 {
+		return "no orders"
+	}
+	return out.String()
+}
--- a/cover/survey.go
+++ b/cover/survey.go
@@ -147,7 +147,10 @@
 	if h, ok := s.extend(gap); ok {
 		return h, true
 	}
-	return s.move(gap)
+	if h, ok := s.move(gap); ok {
+		return h, true
+	}
+	return s.yield(gap)
 }
 
 // gap returns the longest run of layers that nobody will hold; a server that is only doubtful still counts.
@@ -397,10 +400,39 @@
 	return h, true
 }
 
+// yield lets a neighbour of the gap give up layers at its far end that others hold, so that it can grow into the gap.
+func (s *survey) yield(gap teaselstream.LayerRange) (Hold, bool) {
+	for _, m := range s.live {
+		if !s.free(m) || m.Holds.Len() < 2 {
+			continue
+		}
+		r := m.Holds
+		switch {
+		case r.To == gap.From:
+			for r.Len() > 1 && m.Holds.Len()-r.Len() < gap.Len() && s.shared(r.From) {
+				r.From++
+			}
+		case r.From == gap.To:
+			for r.Len() > 1 && m.Holds.Len()-r.Len() < gap.Len() && s.shared(r.To-1) {
+				r.To--
+			}
+		}
+		if r == m.Holds {
+			continue
+		}
+		s.give(m, r)
+		return hold(m, r, "make room to take over lost layers"), true
+	}
+	return Hold{}, false
+}
+
+// shared reports whether a layer has another holder that serves.
+func (s *survey) shared(l teaselstream.Layer) bool { return s.held[l] > 1 && s.ready[l] > 1 }
+
 // spare reports whether every layer of a server has another holder that serves.
 func (s *survey) spare(m *fleet.Member) bool {
 	for l := m.Holds.From; l < m.Holds.To; l++ {
-		if s.held[l] < 2 || s.ready[l] < 2 {
+		if !s.shared(l) {
 			return false
 		}
 	}
--- /dev/null
+++ b/flow/call_test.go
@@ -0,0 +1,61 @@
+package flow
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// Guards against calls that run twice although they must not, run on more replicas than their route allows, are
+// refused as not run although they may have run, or wait while another replica could answer.
+func TestCallScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/call", func(t *testing.T, path string) {
+		var call *Call
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "call" {
+				retries := 100
+				if d.HasArg("retries") {
+					d.ScanArgs(t, "retries", &retries)
+				}
+				call = &Call{CallOptions: CallOptions{
+					Idempotent: d.HasArg("idempotent"), MaxServers: 2,
+					MayRetry: func() bool { retries--; return retries >= 0 },
+				}}
+				return "ok"
+			}
+			var out strings.Builder
+			for _, line := range strings.Split(d.Input, "\n") {
+				fmt.Fprintf(&out, "%s\n", line)
+				for _, c := range call.Update(callMessage(t, strings.Fields(line))) {
+					fmt.Fprintf(&out, "  %s\n", describe(c))
+				}
+			}
+			return out.String()
+		})
+	})
+}
+
+// callMessage reads "answered SEND STATUS [notrun]", "lost SEND [notsent]" and the messages without arguments.
+func callMessage(t *testing.T, f []string) any {
+	last := f[len(f)-1]
+	switch f[0] {
+	case "start":
+		return CallStart{}
+	case "answered":
+		return CallAnswered{Send: int(numberOf(f[1])), Status: int(numberOf(f[2])), NotRun: last == "notrun"}
+	case "lost":
+		return CallLost{Send: int(numberOf(f[1])), NotSent: last == "notsent", Reason: "not answered"}
+	case "unplaced":
+		return CallUnplaced{Send: int(numberOf(f[1]))}
+	case "slow":
+		return CallSlow{}
+	case "timeout":
+		return TimedOut{}
+	case "gone":
+		return CallerGone{}
+	}
+	t.Fatalf("unknown message %s", f[0])
+	return nil
+}
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"github.com/teaselstream/teaselstream"
@@ -16,11 +17,15 @@
 	probeGrowth = 1.6
 	// hungTime is the silence after which a path whose servers all answer is given up. Callers leave after 2 s without an event.
 	hungTime = 1100 * time.Millisecond
+	// patience bounds the wait of a running stream for a path; callers leave after 2 s without an event.
+	patience = 1600 * time.Millisecond
+	// planWait spaces the looks for a path in that time.
+	planWait = 100 * time.Millisecond
 	// maxOpens bounds the times a request is sent, refused ones included.
 	maxOpens = 5
 	// maxRepaths bounds the moves of one attempt.
 	maxRepaths = 4
-	// refusalWait spaces attempts that were refused as not run.
+	// refusalWait is the wait after the second refusal as not run, which doubles with each further one.
 	refusalWait = 40 * time.Millisecond
 	// retryAfterFull tells a caller when to come back after refusals for lack of room; a usual stream lasts about this long.
 	retryAfterFull = 1 * time.Second
@@ -130,6 +135,11 @@
 		}
 		path, step, ok = s.Planner.Plan(now, s.avoid, "")
 	}
+	if !ok && s.delivered && now.Sub(s.progress) < patience {
+		// The caller still waits for the next event, and a lost range may be held again in time.
+		s.reopen = now.Add(planWait)
+		return nil
+	}
 	if !ok {
 		return s.fail(teaselstream.CodeNoRoute, "no path covers all layers", retryAfterLost)
 	}
@@ -190,7 +200,9 @@
 	if !s.begun {
 		s.begun = true
 		s.runs++
-		s.ranOn = append(s.ranOn, s.Path[0].Server)
+		if !slices.Contains(s.ranOn, s.Path[0].Server) {
+			s.ranOn = append(s.ranOn, s.Path[0].Server)
+		}
 		s.mayHaveRun = true
 	}
 }
@@ -210,7 +222,7 @@
 	if s.opens == 1 {
 		return append(cmds, s.open(now, "refused as not run")...)
 	}
-	s.reopen = now.Add(refusalWait)
+	s.reopen = now.Add(refusalWait << (s.opens - 2))
 	return cmds
 }
 
@@ -278,7 +290,7 @@
 		if now.Before(s.reopen) {
 			return nil
 		}
-		return s.open(now, "refused as not run")
+		return s.open(now, "waited for a path")
 	}
 	silent := now.Sub(s.progress)
 	if s.probing || s.moving || silent < s.probeWait {
--- /dev/null
+++ b/flow/stream_test.go
@@ -0,0 +1,199 @@
+package flow
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/teaselstream/teaselstream"
+)
+
+// scriptPlanner offers fixed paths in order of preference.
+type scriptPlanner struct {
+	paths []teaselstream.Path
+	down  map[teaselstream.ServerID]bool
+}
+
+func (p *scriptPlanner) Plan(_ time.Time, avoid map[teaselstream.ServerID]bool, first teaselstream.ServerID) (teaselstream.Path, time.Duration, bool) {
+	for _, path := range p.paths {
+		ok := first == "" || path[0].Server == first
+		for _, x := range path {
+			ok = ok && !avoid[x.Server] && !p.down[x.Server]
+		}
+		if ok {
+			return path, 0, true
+		}
+	}
+	return nil, 0, false
+}
+
+func (p *scriptPlanner) Down(id teaselstream.ServerID) bool { return p.down[id] }
+
+func (p *scriptPlanner) Resolve(address string) teaselstream.ServerID {
+	return teaselstream.ServerID(address)
+}
+
+type streamScript struct {
+	planner *scriptPlanner
+	stream  *Stream
+	retries int
+	start   time.Time
+}
+
+// Guards against streams that lose or repeat events, run on more servers than their route allows, are sent again
+// although they may have run, wait for a part that does not answer, or end without a true final answer.
+func TestStreamScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/stream", func(t *testing.T, path string) {
+		s := &streamScript{start: time.Unix(1000, 0)}
+		datadriven.RunTest(t, path, s.run)
+	})
+}
+
+func (s *streamScript) run(t *testing.T, d *datadriven.TestData) string {
+	switch d.Cmd {
+	case "stream":
+		s.planner = &scriptPlanner{down: make(map[teaselstream.ServerID]bool)}
+		s.stream = &Stream{Options: Options{Planner: s.planner, MaxServers: 2, MayRetry: s.mayRetry, Resumable: !d.HasArg("once")}}
+		s.retries = 100
+		if d.HasArg("retries") {
+			d.ScanArgs(t, "retries", &s.retries)
+		}
+		for _, line := range strings.Fields(d.Input) {
+			s.planner.paths = append(s.planner.paths, pathOf(line))
+		}
+		return "ok"
+	case "steps":
+		var out strings.Builder
+		for _, line := range strings.Split(d.Input, "\n") {
+			fmt.Fprintf(&out, "%s\n", line)
+			for _, c := range s.step(t, strings.Fields(line)) {
+				fmt.Fprintf(&out, "  %s\n", describe(c))
+			}
+		}
+		return out.String()
+	}
+	t.Fatalf("unknown command %s", d.Cmd)
+	return ""
+}
+
+func (s *streamScript) mayRetry() bool {
+	s.retries--
+	return s.retries >= 0
+}
+
+// pathOf reads "a,b,c" as a path of ten layers a part.
+func pathOf(text string) teaselstream.Path {
+	var p teaselstream.Path
+	for i, id := range strings.Split(text, ",") {
+		from := teaselstream.Layer(10 * i)
+		p = append(p, teaselstream.Part{Server: teaselstream.ServerID(id), Address: id, Range: teaselstream.LayerRange{From: from, To: from + 10}})
+	}
+	return p
+}
+
+// step applies one line "TIME message arguments".
+func (s *streamScript) step(t *testing.T, f []string) []teaselstream.Cmd {
+	at, err := time.ParseDuration(f[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := s.start.Add(at)
+	switch f[1] {
+	case "start":
+		return s.stream.Update(now, Start{})
+	case "opened":
+		answer := teaselstream.AnswerHead{NotRun: len(f) > 4 && f[4] == "notrun"}
+		if len(f) > 5 {
+			answer.Fault = f[5]
+		}
+		return s.stream.Update(now, Opened{attemptOf(f[2]), int(numberOf(f[3])), answer})
+	case "event":
+		return s.stream.Update(now, Event{attemptOf(f[2]), numberOf(f[3]), []byte("data")})
+	case "closed":
+		return s.stream.Update(now, Closed{Attempt: attemptOf(f[2]), Complete: f[3] == "complete", NotSent: f[3] == "notsent", Reason: f[3]})
+	case "probed":
+		m := Probed{Attempt: attemptOf(f[2])}
+		switch {
+		case f[3] == "silent":
+			m.Silent = true
+		case f[3] != "fine":
+			m.Stalled = f[3]
+		}
+		return s.stream.Update(now, m)
+	case "moved":
+		return s.stream.Update(now, Repathed{Attempt: attemptOf(f[2])})
+	case "notmoved":
+		return s.stream.Update(now, Repathed{Attempt: attemptOf(f[2]), Err: errors.New("refused")})
+	case "lost":
+		return s.stream.Update(now, Lost{[]teaselstream.ServerID{teaselstream.ServerID(f[2])}})
+	case "down":
+		s.planner.down[teaselstream.ServerID(f[2])] = true
+		return nil
+	case "up":
+		delete(s.planner.down, teaselstream.ServerID(f[2]))
+		return nil
+	case "vacate":
+		return s.stream.Vacate(now, teaselstream.ServerID(f[2]))
+	case "tick":
+		return s.stream.Update(now, teaselstream.Tick{})
+	case "timeout":
+		return s.stream.Update(now, TimedOut{})
+	case "gone":
+		return s.stream.Update(now, CallerGone{})
+	}
+	t.Fatalf("unknown message %s", f[1])
+	return nil
+}
+
+func attemptOf(text string) teaselstream.Attempt { return teaselstream.Attempt(numberOf(text)) }
+
+// numberOf reads a number of a script; a faulty one shows as 0 in the output.
+func numberOf(text string) uint64 {
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+func describe(c teaselstream.Cmd) string {
+	switch c := c.(type) {
+	case Open:
+		return fmt.Sprintf("open %d %v after %d: %s", c.Attempt, c.Path.Servers(), c.LastEvent, c.Reason)
+	case Abort:
+		return fmt.Sprintf("abort %d: %s", c.Attempt, c.Reason)
+	case Probe:
+		return fmt.Sprintf("probe %d %s", c.Attempt, c.Path[0].Server)
+	case Repath:
+		return fmt.Sprintf("move %d %v: %s", c.Attempt, c.Path.Servers(), c.Reason)
+	case Deliver:
+		return fmt.Sprintf("deliver from %d", c.Attempt)
+	case PassOn:
+		return fmt.Sprintf("pass on %d", c.Attempt)
+	case Finish:
+		return "finish " + ending(c.Complete, c.Refusal)
+	case CallSend:
+		return fmt.Sprintf("send %d: %s", c.Send, c.Reason)
+	case CallDeliver:
+		return fmt.Sprintf("deliver %d", c.Send)
+	case CallRefuse:
+		return "refuse " + ending(false, c.Refusal)
+	}
+	return fmt.Sprintf("%T", c)
+}
+
+func ending(complete bool, e *teaselstream.Error) string {
+	switch {
+	case complete:
+		return "complete"
+	case e == nil:
+		return "without an answer"
+	default:
+		return fmt.Sprintf("%s %s retry after %s", e.Code, e.Outcome, e.RetryAfter)
+	}
+}
