stand, gate: a stand-in of the platform, and the whole path tested against it

Two gates, a store and replicas with layers on loopback: routes, keys, lost answers, a part that falls silent, the store away with its history lost, a planned stop.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GOLANGCI_VERSION := v2.15.0
 TOOLS := $(CURDIR)/.tools/bin
-MODULES := . ./cmd/bench ./cmd/entry ./cmd/stand ./cmd/tsctl
+MODULES := . ./cmd/bench ./cmd/entry ./cmd/gate ./cmd/stand ./cmd/tsctl
 
 .PHONY: build test lint format tools measure demo soak mutants plot procs
 
--- /dev/null
+++ b/admit/window_test.go
@@ -0,0 +1,64 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against more retries in some window than the stated bound, whatever the order of requests and retries, and
+// against a restart that begins with a full budget.
+func TestWindowBudgetBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window = 10 * time.Second
+		const ratio, allowance = 0.2, 30.0
+		var b WindowBudget
+		b.Set(ratio, allowance, window)
+		now := time.Unix(1000, 0)
+		type event struct {
+			at    time.Time
+			retry bool
+		}
+		var events []event
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "request") {
+				b.Request()
+				events = append(events, event{now, false})
+			} else if b.Retry(now) {
+				events = append(events, event{now, true})
+			}
+		}
+		for i, first := range events {
+			retries, requests := 0.0, 0.0
+			for j, e := range events {
+				// Requests of the window before count too, since the bound takes the larger of the two.
+				if e.at.After(first.at.Add(-window)) && e.at.Before(first.at.Add(window)) && !e.retry {
+					requests++
+				}
+				if j >= i && e.at.Before(first.at.Add(window)) && e.retry {
+					retries++
+				}
+			}
+			if bound := ratio*requests + allowance; retries > bound+1 {
+				t.Fatalf("%v retries in a window, bound %v", retries, bound)
+			}
+		}
+	})
+}
+
+// Guards against a VM that spends a whole budget right after each restart.
+func TestWindowBudgetStartsEmpty(t *testing.T) {
+	var b WindowBudget
+	b.Set(0.2, 30, 10*time.Second)
+	if b.Retry(time.Unix(1000, 0)) {
+		t.Error("a new budget allows a retry before any request")
+	}
+	for range 5 {
+		b.Request()
+	}
+	if !b.Retry(time.Unix(1000, 0)) {
+		t.Error("five requests do not allow one retry at a ratio of 0.2")
+	}
+}
--- /dev/null
+++ b/cmd/gate/path_test.go
@@ -0,0 +1,311 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/teaselstream/teaselstream/cmd/stand/plat"
+	"github.com/teaselstream/teaselstream/config"
+)
+
+const (
+	testLayers = 40
+	// startTime bounds the start of a gate and the placement of all layers.
+	startTime = 15 * time.Second
+)
+
+// site is a stand-in of the platform with gates in front of it.
+type site struct {
+	store *plat.Store
+	fleet *plat.Fleet
+	parts []*plat.Replica
+	gates []string
+	stops []func()
+}
+
+// newSite starts a store, replicas in one failure domain and a number of gates, and waits until a stream is served.
+func newSite(t *testing.T, gates int) *site {
+	t.Helper()
+	s := &site{store: &plat.Store{}}
+	storeListener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: s.store, ReadHeaderTimeout: startTime}
+	go func() { _ = server.Serve(storeListener) }()
+	s.fleet = &plat.Fleet{Store: s.store, Service: "model", Plain: "plain", Layers: testLayers}
+	s.store.Put("op/config", testConfig(1))
+	for i := range 4 {
+		r, err := s.fleet.Add(fmt.Sprintf("m%d", i), "zone-a", "acc")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.parts = append(s.parts, r)
+	}
+	for i := range 2 {
+		if _, err := s.fleet.Add(fmt.Sprintf("p%d", i), "zone-a", ""); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range gates {
+		s.gate(t, i, storeListener.Addr().String())
+	}
+	t.Cleanup(func() {
+		for _, stop := range s.stops {
+			stop()
+		}
+		s.fleet.Close()
+		if err := server.Close(); err != nil {
+			t.Log(err)
+		}
+		for _, f := range s.fleet.Faults() {
+			t.Errorf("replicas saw: %s", f)
+		}
+	})
+	for limit := time.Now().Add(startTime); ; time.Sleep(100 * time.Millisecond) {
+		if a := s.get(0, "/draft/?n=1", "ready-"+time.Now().String()); a.complete && a.status == http.StatusOK {
+			return s
+		}
+		if time.Now().After(limit) {
+			t.Fatal("no stream is served after the start")
+		}
+	}
+}
+
+func testConfig(version int) map[string]any {
+	return map[string]any{
+		"Version": version,
+		"Routes": []map[string]any{
+			{"Name": "draft", "Host": "test.example", "Prefix": "/draft/", "RouteKind": "streaming", "TimeoutMs": 8000, "FullValueMs": 500, "Service": "model", "MaxAttempts": 2, "Resumable": true, "GapTargetMs": 200},
+			{"Name": "order", "Host": "test.example", "Prefix": "/order/", "RouteKind": "non_idempotent", "TimeoutMs": 2000, "FullValueMs": 100, "Service": "plain", "MaxAttempts": 1},
+			{"Name": "look", "Host": "test.example", "Prefix": "/look/", "RouteKind": "idempotent", "TimeoutMs": 2000, "FullValueMs": 100, "Service": "plain", "MaxAttempts": 2},
+		},
+		"Services": []map[string]any{
+			{"Name": "model", "HealthPath": "/healthz", "Engine": map[string]any{
+				"Layers": testLayers, "LayerMb": 1000, "KvBytes": 1e6, "Stride": 3, "step_ms": 1, "read_per_s": 100000,
+				"usual": map[string]int{"prompt": 700, "answer": 200},
+				"Kinds": []map[string]any{{"Name": "acc", "SizeMb": 60000, "pace": 2, "ReadFactor": 2}},
+			}},
+			{"Name": "plain", "HealthPath": "/healthz"},
+		},
+		"Limits":  map[string]any{"MaxHeaderBytes": 8192, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 1000, "IdleTimeoutMs": 5000},
+		"Tenants": []map[string]any{{"Name": "team-a", "ApiKeys": []string{"key-a"}}},
+	}
+}
+
+func (s *site) gate(t *testing.T, n int, store string) {
+	t.Helper()
+	var addresses []any
+	for range 2 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addresses = append(addresses, l.Addr().String())
+		if err := l.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	file := filepath.Join(t.TempDir(), "gate.ini")
+	text := fmt.Sprintf("[VM]\nName = vm%d\nDomain = zone-a\n[Listen]\nCallers = %s\nReady = %s\n[Store]\nAddresses = %s\n", n, addresses[0], addresses[1], store)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	settings, err := config.LoadGate(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := serveUntil(ctx, file, settings, slog.New(slog.DiscardHandler)); err != nil {
+			t.Error(err)
+		}
+	}()
+	s.gates = append(s.gates, settings.Listen.Callers)
+	s.stops = append(s.stops, func() { cancel(); <-done })
+}
+
+// answer is what a caller sees.
+type answer struct {
+	status   int
+	header   http.Header
+	body     string
+	complete bool
+	err      error
+}
+
+// get sends a GET request to a gate; do says how for other methods and keys.
+func (s *site) get(gate int, path, attempt string) answer {
+	return s.do(gate, http.MethodGet, path, attempt, "key-a")
+}
+
+func (s *site) do(gate int, method, path, attempt, key string) answer {
+	q, err := http.NewRequest(method, "http://"+s.gates[gate]+path, nil)
+	if err != nil {
+		return answer{err: err}
+	}
+	q.Host = "test.example"
+	q.Header.Set("X-Attempt-Id", attempt)
+	q.Header.Set("X-Api-Key", key)
+	q.Header.Set("X-Deadline-Ms", "6000")
+	p, err := http.DefaultTransport.(*http.Transport).Clone().RoundTrip(q)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = p.Body.Close() }()
+	b, err := io.ReadAll(p.Body)
+	return answer{status: p.StatusCode, header: p.Header, body: string(b), complete: err == nil, err: err}
+}
+
+// checkEvents reports events that are missing, repeated or out of order.
+func checkEvents(t *testing.T, a answer, n int) {
+	t.Helper()
+	if a.status != http.StatusOK || !a.complete {
+		t.Fatalf("status %d, complete %t, error %v, body %q", a.status, a.complete, a.err, a.body)
+	}
+	next := 1
+	for sc := bufio.NewScanner(strings.NewReader(a.body)); sc.Scan(); {
+		if id, ok := strings.CutPrefix(sc.Text(), "id: "); ok {
+			if id != fmt.Sprint(next) {
+				t.Fatalf("event %s where %d is due", id, next)
+			}
+			next++
+		}
+	}
+	if next != n+1 {
+		t.Fatalf("%d events, want %d", next-1, n)
+	}
+}
+
+// Guards the whole path through the adapter: routes, keys, forwarding, the team's name and the replica's stamp.
+func TestWholePath(t *testing.T) {
+	s := newSite(t, 1)
+	checkEvents(t, s.get(0, "/draft/?n=20", "a1"), 20)
+	a := s.do(0, http.MethodPost, "/order/7", "a2", "key-a")
+	if a.status != http.StatusOK || a.body != "POST /order/7 by team team-a" || !strings.HasPrefix(a.header.Get("X-Replica-Stamp"), "stamp-p") {
+		t.Errorf("order: status %d, body %q, stamp %q", a.status, a.body, a.header.Get("X-Replica-Stamp"))
+	}
+	if a := s.do(0, http.MethodGet, "/look/7", "a3", "key-b"); a.status != http.StatusUnauthorized {
+		t.Errorf("unknown key: status %d, want 401", a.status)
+	}
+	if a := s.get(0, "/elsewhere/7", "a4"); a.status != http.StatusNotFound {
+		t.Errorf("unknown route: status %d, want 404", a.status)
+	}
+	for _, id := range []string{"a1", "a2"} {
+		if n := s.fleet.Ran(id); n != 1 {
+			t.Errorf("request %s ran %d times, want once", id, n)
+		}
+	}
+}
+
+// Guards against a call that runs twice, or is refused as not run, after its answer was lost; and against a lost
+// answer of an idempotent call that reaches the caller.
+func TestLostAnswer(t *testing.T) {
+	s := newSite(t, 1)
+	a := s.do(0, http.MethodPost, "/order/7?lose=1", "b1", "key-a")
+	if a.status != http.StatusBadGateway {
+		t.Errorf("lost answer of an order: status %d, want 502, which promises nothing", a.status)
+	}
+	if n := s.fleet.Ran("b1"); n != 1 {
+		t.Errorf("the order ran %d times, want once", n)
+	}
+	if a := s.get(0, "/look/7?lose=1", "b2"); a.status != http.StatusBadGateway {
+		t.Errorf("lost answers of a look-up: status %d, want 502", a.status)
+	}
+	if n := s.fleet.Ran("b2"); n != 2 {
+		t.Errorf("the look-up ran %d times, want twice as its route allows", n)
+	}
+}
+
+// Guards against streams that end or lose events when a part falls silent, whichever part it is.
+func TestPartFallsSilent(t *testing.T) {
+	s := newSite(t, 1)
+	var busy *plat.Replica
+	for _, r := range s.parts {
+		if from, to := r.Holds(); to > from && from == 0 {
+			busy = r
+		}
+	}
+	var wait sync.WaitGroup
+	answers := make([]answer, 6)
+	for i := range answers {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			answers[i] = s.get(0, "/draft/?n=80", fmt.Sprintf("c%d", i))
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	busy.SetSilent(true)
+	wait.Wait()
+	for i := range answers {
+		checkEvents(t, answers[i], 80)
+	}
+	checkEvents(t, s.get(0, "/draft/?n=5", "c9"), 5)
+}
+
+// Guards against traffic that stops with the store, and against a configuration that is not in force after the store
+// has lost its history.
+func TestStoreAway(t *testing.T) {
+	s := newSite(t, 1)
+	s.store.SetDown(true)
+	for i := range 5 {
+		checkEvents(t, s.get(0, "/draft/?n=3", fmt.Sprintf("d%d", i)), 3)
+		time.Sleep(200 * time.Millisecond)
+	}
+	s.store.Compact()
+	next := testConfig(2)
+	next["Tenants"] = []map[string]any{{"Name": "team-b", "ApiKeys": []string{"key-b"}}}
+	s.store.Put("op/config", next)
+	s.store.SetDown(false)
+	for limit := time.Now().Add(5 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		if s.get(0, "/look/1", "d8").status == http.StatusUnauthorized {
+			break
+		}
+		if time.Now().After(limit) {
+			t.Fatal("the removed key is still accepted")
+		}
+	}
+	if a := s.do(0, http.MethodGet, "/look/1", "d9", "key-b"); a.status != http.StatusOK {
+		t.Errorf("new key: status %d, want 200", a.status)
+	}
+}
+
+// Guards against a planned stop that cuts a stream, and against a VM that stops others from placing layers.
+func TestPlannedStop(t *testing.T) {
+	s := newSite(t, 2)
+	var wait sync.WaitGroup
+	wait.Add(1)
+	var a answer
+	go func() {
+		defer wait.Done()
+		a = s.get(0, "/draft/?n=120", "e1")
+	}()
+	time.Sleep(300 * time.Millisecond)
+	s.stops[0]()
+	wait.Wait()
+	checkEvents(t, a, 120)
+	s.stops = s.stops[1:]
+	if _, err := s.fleet.Add("m9", "zone-a", "acc"); err != nil {
+		t.Fatal(err)
+	}
+	for limit := time.Now().Add(startTime); len(s.store.Keys("vm/")) > 1; time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatal("the stopped VM is still registered")
+		}
+	}
+	checkEvents(t, s.get(1, "/draft/?n=5", "e2"), 5)
+}
--- /dev/null
+++ b/fleet/core_test.go
@@ -0,0 +1,149 @@
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/teaselstream/teaselstream"
+)
+
+type coreScript struct {
+	core  Core
+	view  *View
+	start time.Time
+}
+
+// Guards against servers that are dropped because the store was away, kept after they left, believed to hold what an
+// earlier incarnation held, or used while they do not answer, and against configurations that go back.
+func TestCoreScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &coreScript{start: time.Unix(1000, 0)}
+		datadriven.RunTest(t, path, s.run)
+	})
+}
+
+func (s *coreScript) run(t *testing.T, d *datadriven.TestData) string {
+	if d.Cmd == "new" {
+		s.core, s.view = Core{Domain: "zone"}, nil
+		return "ok"
+	}
+	var out strings.Builder
+	for _, line := range strings.Split(d.Input, "\n") {
+		f := strings.Fields(line)
+		at, err := time.ParseDuration(f[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range s.core.Update(s.start.Add(at), message(t, f[1:])) {
+			switch c := c.(type) {
+			case Publish:
+				s.view = c.View
+			case Note:
+				fmt.Fprintf(&out, "%s: %s %s\n", f[0], c.Event, c.Server)
+			case ReadReport:
+				fmt.Fprintf(&out, "%s: read report of %s\n", f[0], c.Server)
+			}
+		}
+	}
+	return out.String() + s.state()
+}
+
+func (s *coreScript) state() string {
+	if s.view == nil {
+		return "no view"
+	}
+	var out strings.Builder
+	for _, id := range slices.Sorted(maps.Keys(s.view.Members)) {
+		m := s.view.Members[id]
+		fmt.Fprintf(&out, "%s %s holds %s incarnation %d\n", id, m.State, m.Holds, m.Incarnation)
+	}
+	if s.view.Routing != nil {
+		fmt.Fprintf(&out, "generation %d\n", s.view.Routing.Generation)
+	}
+	return out.String()
+}
+
+// message reads "listed NAME...", "changed NAME [from-to] [born=N] [draining]", "removed NAME", "reported NAME from-to
+// [born=N]", "silent NAME [born=N]", "refused NAME [misplaced]", "lost", "regained", "routing N" or "tick".
+func message(t *testing.T, f []string) teaselstream.Msg {
+	var id teaselstream.ServerID
+	if len(f) > 1 {
+		id = teaselstream.ServerID(f[1])
+	}
+	r := replicaOf(id, f)
+	switch f[0] {
+	case "listed":
+		var l Listed
+		for _, name := range f[1:] {
+			l.Replicas = append(l.Replicas, replicaOf(teaselstream.ServerID(name), nil))
+		}
+		return l
+	case "changed":
+		return Changed{r}
+	case "removed":
+		return Removed{id}
+	case "reported":
+		return Reported{Server: id, Report: teaselstream.ReplicaReport{Incarnation: r.Incarnation, Holds: r.Holds, Pace: 1}}
+	case "silent":
+		return Silent{Server: id, Incarnation: r.Incarnation}
+	case "refused":
+		return Refused{Server: id, Misplaced: slices.Contains(f, "misplaced")}
+	case "lost":
+		return StoreLost{}
+	case "regained":
+		return StoreRegained{}
+	case "routing":
+		var n teaselstream.Generation
+		if _, err := fmt.Sscan(f[1], &n); err != nil {
+			t.Fatal(err)
+		}
+		return RoutingRead{&teaselstream.Routing{Generation: n}}
+	case "tick":
+		return teaselstream.Tick{}
+	}
+	t.Fatalf("unknown message %s", f[0])
+	return nil
+}
+
+func replicaOf(id teaselstream.ServerID, f []string) teaselstream.Replica {
+	r := teaselstream.Replica{ID: id, Service: "model", Address: string(id), Domain: "zone", Incarnation: 1}
+	for _, word := range f {
+		var from, to, born int
+		if n, _ := fmt.Sscanf(word, "%d-%d", &from, &to); n == 2 {
+			r.Holds = teaselstream.LayerRange{From: teaselstream.Layer(from), To: teaselstream.Layer(to)}
+		}
+		if n, _ := fmt.Sscanf(word, "born=%d", &born); n == 1 {
+			r.Incarnation = teaselstream.Incarnation(born)
+		}
+		r.Draining = r.Draining || word == "draining"
+	}
+	return r
+}
+
+// Guards against load that is counted twice, or against a statement that is trusted for too long.
+func TestUseRunning(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var u Use
+	if _, ok := u.Running(now); ok {
+		t.Error("Running() is known before any statement")
+	}
+	u.Requests.Store(3)
+	u.Observe(now, 10, 0.5)
+	u.Requests.Store(5)
+	if n, ok := u.Running(now.Add(time.Second)); !ok || n != 12 {
+		t.Errorf("Running() = %d, %t after two more own requests, want 12, true", n, ok)
+	}
+	u.Observe(now, 20, -1)
+	if share, _ := u.Cache(now); share != 0.5 {
+		t.Errorf("Cache() = %v after a statement without memory, want the earlier 0.5", share)
+	}
+	if _, ok := u.Running(now.Add(loadTrust + time.Second)); ok {
+		t.Error("Running() trusts an old statement")
+	}
+}
