cover: keep comfortable memory when layers are taken over; far VMs wait

After a cut, a VM of another domain moved three servers of the domain that had just returned to the list.

--- a/chain/chain.go
+++ b/chain/chain.go
@@ -10,9 +10,9 @@
 
 const (
 	// crossCost is added where a path enters another failure domain; activations share one slow pipe for each pair of domains.
-	crossCost = 700 * time.Millisecond
+	crossCost = 1500 * time.Millisecond
 	// awayCost is added if the first part is outside this VM's failure domain; the answer then crosses domains.
-	awayCost = 400 * time.Millisecond
+	awayCost = 800 * time.Millisecond
 	// leavingCost keeps work away from servers that leave, unless nothing else covers a layer.
 	leavingCost = 20 * time.Second
 	// pausedCost keeps work away from servers that have just refused some.
--- a/cover/cover.go
+++ b/cover/cover.go
@@ -15,6 +15,9 @@
 	settleTime = 1200 * time.Millisecond
 	// growTime is how long a domain's list must not have grown before its first layout; servers register with their heartbeats.
 	growTime = 1500 * time.Millisecond
+	// aloneTime is how long a domain must have no registered VM before VMs of other domains place its layers. A domain
+	// that was cut off from the store registers its VMs again within some seconds.
+	aloneTime = 10 * time.Second
 	// doubtTime is how long a server that does not answer still counts as a holder while other copies serve.
 	doubtTime = 1500 * time.Millisecond
 	// idleTime is how long an empty server is kept for a loss before it takes a range that is already held.
@@ -41,6 +44,8 @@
 		needs map[string]time.Time
 		empty map[teaselstream.ServerID]time.Time
 		grown map[teaselstream.DomainID]growth
+		// alone holds since when no VM of a domain is registered.
+		alone map[teaselstream.DomainID]time.Time
 	}
 
 	// growth is the largest number of servers seen in a domain, and when it was first seen.
@@ -87,6 +92,7 @@
 		d.needs = make(map[string]time.Time)
 		d.empty = make(map[teaselstream.ServerID]time.Time)
 		d.grown = make(map[teaselstream.DomainID]growth)
+		d.alone = make(map[teaselstream.DomainID]time.Time)
 		d.started = now
 	}
 	switch m := m.(type) {
@@ -141,7 +147,7 @@
 // rank returns this VM's place among those that may give orders in a domain, or a negative number if it may not.
 // VMs of other domains give orders only while none of the domain is registered, since a cut between the domains
 // looks to them like a loss of its servers.
-func (d *Decider) rank(v *fleet.View, domain teaselstream.DomainID) int {
+func (d *Decider) rank(now time.Time, v *fleet.View, domain teaselstream.DomainID) int {
 	var near, far []teaselstream.VMID
 	for _, p := range v.Peers {
 		if p.Domain == domain {
@@ -157,6 +163,13 @@
 		return len(near)
 	}
 	if len(near) > 0 || v.StoreLost {
+		delete(d.alone, domain)
+		return -1
+	}
+	if _, ok := d.alone[domain]; !ok {
+		d.alone[domain] = now
+	}
+	if now.Sub(d.alone[domain]) < aloneTime {
 		return -1
 	}
 	return slices.Index(teaselstream.Rendezvous(string(domain), far), d.VM)
@@ -175,7 +188,7 @@
 		since = now
 		d.needs[key] = now
 	}
-	rank := d.rank(v, domain)
+	rank := d.rank(now, v, domain)
 	if rank < 0 || now.Sub(since) < time.Duration(rank)*rankDelay {
 		return nil
 	}
--- a/cover/survey.go
+++ b/cover/survey.go
@@ -144,12 +144,15 @@
 	if !ok {
 		return s.shrink()
 	}
-	if h, ok := s.extend(gap); ok {
+	if h, ok := s.extend(gap, s.budget.tokens/comfortShare); ok {
 		return h, true
 	}
 	if h, ok := s.move(gap); ok {
 		return h, true
 	}
+	if h, ok := s.extend(gap, emptyFloor); ok {
+		return h, true
+	}
 	return s.yield(gap)
 }
 
@@ -221,7 +224,7 @@
 	for n := max(usual-1, 1); n <= min(usual+extraLayers, most); n++ {
 		for from := teaselstream.Layer(0); from+teaselstream.Layer(n) <= s.engine.Layers; from++ {
 			r := teaselstream.LayerRange{From: from, To: from + teaselstream.Layer(n)}
-			score := s.gain(r) - float64(max(n-usual, 0))*overPenalty
+			score := s.gain(m, r) - float64(max(n-usual, 0))*overPenalty
 			if score > bestScore {
 				best, bestScore = r, score
 			}
@@ -231,21 +234,26 @@
 }
 
 const (
+	// comfortShare is the part of the domain's memory for requests that a server keeps when it takes over layers, as
+	// long as another way to hold them is left. A server without that memory throttles its whole domain.
+	comfortShare = 3
 	// extraLayers is how many layers over its usual number an empty server takes to close a hole.
 	extraLayers = 4
 	// holeGain, shortGain and spareGain weigh a layer that nobody holds, one with too few holders, and any other.
 	holeGain  = 100.0
 	shortGain = 10.0
 	spareGain = 1.0
+	// speedGain weighs how much faster a server is than the fastest holder of a layer.
+	speedGain = 3.0
 	// exposureGain weighs the layers that would be lost with one server.
-	exposureGain = 10.0
+	exposureGain = 4.0
 	// overPenalty is the price of a layer beyond the usual number, which takes memory from requests.
 	overPenalty = 4.0
 	// alignGain rewards a window that begins or ends where another server's does, which keeps paths short.
 	alignGain = 0.5
 )
 
-func (s *survey) gain(r teaselstream.LayerRange) float64 {
+func (s *survey) gain(m *fleet.Member, r teaselstream.LayerRange) float64 {
 	total := 0.0
 	for l := r.From; l < r.To; l++ {
 		switch n := s.held[l]; {
@@ -254,11 +262,11 @@
 		case n < s.budget.copies:
 			total += shortGain / float64(n)
 		default:
-			total += spareGain * s.tightness(l) * (1 + s.exposure(l))
+			total += spareGain*s.tightness(l)*(1+s.exposure(l)) + speedGain*s.speedup(m, l)
 		}
 	}
-	for _, m := range s.live {
-		f := s.future(m)
+	for _, x := range s.live {
+		f := s.future(x)
 		if f.Empty() {
 			continue
 		}
@@ -269,6 +277,19 @@
 	return total
 }
 
+// speedup returns how much less time a layer would take, as a share of the slowest kind's time.
+func (s *survey) speedup(m *fleet.Member, l teaselstream.Layer) float64 {
+	best, slowest := 0.0, 0.0
+	for _, x := range s.live {
+		pace := s.engine.Kinds[x.Accelerator].Pace
+		slowest = max(slowest, pace)
+		if s.future(x).Contains(l) && (best == 0 || pace < best) {
+			best = pace
+		}
+	}
+	return max(best-s.engine.Kinds[m.Accelerator].Pace, 0) / max(slowest, 1)
+}
+
 // exposure is how much of a copy its largest holder would take away with a layer, which has to be loaded again.
 func (s *survey) exposure(l teaselstream.Layer) float64 {
 	if s.held[l] > s.budget.copies {
@@ -306,14 +327,15 @@
 }
 
 // extend lets the neighbours of a gap grow into it without giving anything up. The gap is split between its two sides
-// so that the tighter of the two keeps the most memory for requests; the other side follows with the next order.
-func (s *survey) extend(gap teaselstream.LayerRange) (Hold, bool) {
+// so that the tighter of the two keeps the most memory for requests, and at least that of a number of tokens; the other
+// side follows with the next order.
+func (s *survey) extend(gap teaselstream.LayerRange, least int) (Hold, bool) {
 	var best *fleet.Member
 	var bestRange teaselstream.LayerRange
 	bestLeft, bestTokens := gap.Len()+1, 0
 	for n := 0; n <= gap.Len(); n++ {
-		left, leftTokens := s.neighbour(gap, n, true)
-		right, rightTokens := s.neighbour(gap, gap.Len()-n, false)
+		left, leftTokens := s.neighbour(gap, n, least, true)
+		right, rightTokens := s.neighbour(gap, gap.Len()-n, least, false)
 		covered, tokens := 0, 0
 		switch {
 		case left != nil && right != nil:
@@ -346,7 +368,7 @@
 
 // neighbour returns the server at one side of a gap that keeps the most memory for requests when it takes n of the
 // gap's layers on that side; no server is needed for none.
-func (s *survey) neighbour(gap teaselstream.LayerRange, n int, left bool) (*fleet.Member, int) {
+func (s *survey) neighbour(gap teaselstream.LayerRange, n, least int, left bool) (*fleet.Member, int) {
 	var best *fleet.Member
 	bestTokens := 0
 	for _, m := range s.live {
@@ -360,7 +382,7 @@
 			touches = m.Holds.To > gap.To && m.Holds.From <= gap.To
 		}
 		tokens := s.engine.CacheTokens(m.Accelerator, joined(m.Holds, r).Len())
-		if touches && tokens >= emptyFloor && tokens > bestTokens {
+		if touches && tokens >= least && tokens > bestTokens {
 			best, bestTokens = m, tokens
 		}
 	}
