--- a/cmd/gate/serve.go
+++ b/cmd/gate/serve.go
@@ -23,6 +23,7 @@
 	"github.com/teaselstream/teaselstream/pick"
 	"github.com/teaselstream/teaselstream/platform"
 	"github.com/teaselstream/teaselstream/proxy"
+	"github.com/teaselstream/teaselstream/share"
 	"github.com/teaselstream/teaselstream/watch"
 )
 
@@ -50,6 +51,7 @@
 	settings atomic.Pointer[config.GateSettings]
 	log      *slog.Logger
 	store    *platform.Store
+	shared   *share.Directory
 	budget   admit.WindowBudget
 	control  *control
 	handler  *proxy.Handler
@@ -76,11 +78,14 @@
 	if err := p.serveReady(settings); err != nil {
 		return errors.Join(err, callers.Close())
 	}
+	if err := p.servePeers(settings); err != nil {
+		return errors.Join(err, callers.Close())
+	}
 	registered, unregister := context.WithCancel(background)
 	defer unregister()
 	go p.control.run(background)
 	go p.follower().Run(background)
-	go p.registrar(settings).Run(registered)
+	go p.registrar().Run(registered)
 	go p.reload(background)
 	go p.sweep(background)
 	failed := make(chan error, 1)
@@ -107,6 +112,10 @@
 	}
 	p.control.handler = p.handler
 	p.control.published = p.shareBudget
+	p.shared = &share.Directory{
+		Directory: p.store, Self: fleet.Peer{Name: settings.VM.Name, Domain: settings.VM.Domain, Address: settings.Listen.Peers},
+		Peers: func() []fleet.Peer { return p.control.current().Peers }, Log: p.log,
+	}
 	p.server = &proxy.Server{Serve: p.handler.Serve, Limits: p.limits, Log: p.log}
 }
 
@@ -133,16 +142,14 @@
 
 func (p *process) follower() *watch.Follower {
 	return &watch.Follower{
-		Directory: p.store, RoutingKey: platform.RoutingKey, ReplicaPrefix: platform.ReplicaPrefix,
+		Directory: p.shared, RoutingKey: platform.RoutingKey, ReplicaPrefix: platform.ReplicaPrefix,
 		DecodeRouting: platform.DecodeRouting, DecodeReplica: platform.DecodeReplica,
 		Post: p.control.post, Rand: &lockedRand{}, Log: p.log,
 	}
 }
 
-func (p *process) registrar(settings config.GateSettings) *watch.Registrar {
-	return &watch.Registrar{
-		Directory: p.store, Self: fleet.Peer{Name: settings.VM.Name, Domain: settings.VM.Domain}, Rand: &lockedRand{}, Log: p.log,
-	}
+func (p *process) registrar() *watch.Registrar {
+	return &watch.Registrar{Directory: p.store, Self: p.shared.Self, Rand: &lockedRand{}, Log: p.log}
 }
 
 // ready reports whether the VM takes new connections: it needs a configuration and must not be stopping.
@@ -168,6 +175,23 @@
 	return nil
 }
 
+// servePeers answers other VMs that follow the store through this one.
+func (p *process) servePeers(settings config.GateSettings) error {
+	if settings.Listen.Peers == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", settings.Listen.Peers)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	go func() {
+		if err := p.shared.Serve(l); err != nil {
+			p.log.Error("ListenerFailed", "address", settings.Listen.Peers, "error", err)
+		}
+	}()
+	return nil
+}
+
 func (p *process) listen(address string, h http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
--- a/config/gate.go
+++ b/config/gate.go
@@ -36,6 +36,8 @@
 		Callers string
 		Ready   string
 		Metrics string
+		// Peers is where other VMs ask for changes of the store; empty switches that off.
+		Peers string
 	}
 
 	// GateBounds holds the times and shares that the platform states.
@@ -81,6 +83,7 @@
 			Callers: r.required("Listen", "Callers", addressForm),
 			Ready:   r.required("Listen", "Ready", addressForm),
 			Metrics: r.optional("Listen", "Metrics", addressForm, ""),
+			Peers:   r.optional("Listen", "Peers", addressForm, ""),
 		},
 		Store: Store{Addresses: r.addresses("Store", "Addresses", true)},
 		Log:   Log{Level: r.optional("Log", "Level", choiceForm("debug", "info", "warn", "error"), "info")},
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -29,8 +29,10 @@
 
 	// Peer is another VM.
 	Peer struct {
-		Name   teaselstream.VMID     `json:"Name"`
-		Domain teaselstream.DomainID `json:"Domain"`
+		Name   teaselstream.VMID
+		Domain teaselstream.DomainID
+		// Address is where the VM answers other VMs, or empty.
+		Address string
 	}
 
 	// View is an immutable picture of routing, backend servers and VMs.
--- /dev/null
+++ b/share/server.go
@@ -0,0 +1,69 @@
+package share
+
+import (
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/teaselstream/teaselstream"
+)
+
+// changesPath is the call with which a VM asks a reader for changes.
+const changesPath = "/changes"
+
+// Serve answers the other VMs of the domain until the listener is closed.
+func (d *Directory) Serve(l net.Listener) error {
+	s := &fasthttp.Server{Handler: d.handle, ReadTimeout: time.Minute, NoDefaultServerHeader: true, NoDefaultDate: true, CloseOnShutdown: true}
+	if err := s.Serve(l); err != nil {
+		return fmt.Errorf("serve peers: %w", err)
+	}
+	return nil
+}
+
+func (d *Directory) handle(c *fasthttp.RequestCtx) {
+	after, err := c.QueryArgs().GetUint("after")
+	if err != nil || string(c.Path()) != changesPath {
+		c.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	prefix := string(c.QueryArgs().Peek("prefix"))
+	x, status := d.answer(prefix, teaselstream.Revision(after))
+	if status != fasthttp.StatusOK {
+		c.SetStatusCode(status)
+		return
+	}
+	body, err := cbor.Marshal(x)
+	if err != nil {
+		d.Log.Error("AnswerNotEncoded", "error", err)
+		c.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	c.SetBody(body)
+}
+
+// answer waits for changes after a revision, for a limited time.
+func (d *Directory) answer(prefix string, after teaselstream.Revision) (relayed, int) {
+	limit := time.NewTimer(relayWait)
+	defer limit.Stop()
+	for {
+		if time.Since(d.changes.Read()) > staleTime {
+			return relayed{}, fasthttp.StatusServiceUnavailable
+		}
+		changed := d.changes.Wait()
+		entries, at, ok := d.changes.Since(prefix, after)
+		if !ok {
+			return relayed{}, fasthttp.StatusGone
+		}
+		if len(entries) > 0 {
+			return relayed{entries, at}, fasthttp.StatusOK
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			return relayed{nil, at}, fasthttp.StatusOK
+		}
+	}
+}
--- a/watch/register.go
+++ b/watch/register.go
@@ -16,9 +16,9 @@
 	// vmPrefix holds one entry for each VM.
 	vmPrefix = "vm/"
 	// leaseTime is how long a VM's entry outlives it.
-	leaseTime = 5 * time.Second
+	leaseTime = 9 * time.Second
 	// renewPeriod leaves room for two lost renewals.
-	renewPeriod = 1500 * time.Millisecond
+	renewPeriod = 2800 * time.Millisecond
 )
 
 // Registrar keeps this VM's entry in the store while the VM runs.
