--- a/admit/window.go
+++ b/admit/window.go
@@ -5,11 +5,12 @@
 	"time"
 )
 
-// WindowBudget bounds this VM's part of the attempts beyond the first that all VMs share in a sliding window.
+// WindowBudget bounds this VM's part of the attempts beyond the first that all VMs share in a sliding window: an
+// allowance, and a ratio of the requests in the window.
 //
-// It is a token bucket that starts empty, since a VM that restarts does not know what it spent before. Half of the
-// allowance is saved up at most and half is refilled over each window, so that no window sees more than the allowance
-// and a share of the requests. It is safe for use by many goroutines.
+// It is a token bucket that starts empty, since a VM that restarts does not know what it spent before. Half of what a
+// window allows is saved up at most and half is refilled over each window, so that no window sees more than it allows.
+// It is safe for use by many goroutines.
 type WindowBudget struct {
 	mu sync.Mutex
 	// ratio is the number of retries that each request allows.
@@ -19,6 +20,9 @@
 	window    time.Duration
 	tokens    float64
 	at        time.Time
+	// begun is the start of the window that is counted; now and before are the requests in it and in the one before.
+	begun       time.Time
+	now, before float64
 }
 
 // Set changes the limits.
@@ -29,14 +33,21 @@
 	b.tokens = min(b.tokens, b.limit())
 }
 
-// limit bounds the tokens saved up.
-func (b *WindowBudget) limit() float64 { return b.allowance / 2 }
+// limit bounds the tokens saved up. The requests of the window before count, as the platform's bound counts them.
+func (b *WindowBudget) limit() float64 { return (b.allowance + b.ratio*max(b.now, b.before)) / 2 }
 
-// Request counts the first attempt of a request.
-func (b *WindowBudget) Request() {
+// Request counts the first attempt of a request at a time.
+func (b *WindowBudget) Request(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+b.ratio, b.limit())
+	switch passed := now.Sub(b.begun); {
+	case passed >= 2*b.window:
+		b.begun, b.now, b.before = now, 0, 0
+	case passed >= b.window:
+		b.begun, b.now, b.before = now, 0, b.now
+	}
+	b.now++
+	b.tokens = min(b.tokens+b.ratio/2, b.limit())
 }
 
 // Retry reports whether one more attempt is allowed at a time, and counts it if so.
@@ -47,7 +58,8 @@
 		b.tokens = min(b.tokens+b.allowance/2*float64(now.Sub(b.at))/float64(b.window), b.limit())
 	}
 	b.at = now
-	if b.tokens < 1 {
+	// The margin covers rounding errors of repeated additions.
+	if b.tokens < 1-1e-9 {
 		return false
 	}
 	b.tokens--
--- a/admit/window_test.go
+++ b/admit/window_test.go
@@ -24,7 +24,7 @@
 		for range rapid.IntRange(1, 300).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
 			if rapid.Bool().Draw(t, "request") {
-				b.Request()
+				b.Request(now)
 				events = append(events, event{now, false})
 			} else if b.Retry(now) {
 				events = append(events, event{now, true})
@@ -55,10 +55,29 @@
 	if b.Retry(time.Unix(1000, 0)) {
 		t.Error("a new budget allows a retry before any request")
 	}
-	for range 5 {
-		b.Request()
+	for range 10 {
+		b.Request(time.Unix(1000, 0))
 	}
 	if !b.Retry(time.Unix(1000, 0)) {
-		t.Error("five requests do not allow one retry at a ratio of 0.2")
+		t.Error("ten requests do not allow one retry at a ratio of 0.2")
+	}
+}
+
+// Guards against a budget that cannot answer the loss of one server at a fleet of many VMs: a VM with 5 requests a second
+// and an allowance of 4 has to send several of them again at the same moment.
+func TestWindowBudgetSavesForLoss(t *testing.T) {
+	var b WindowBudget
+	b.Set(0.2, 4, 10*time.Second)
+	now := time.Unix(1000, 0)
+	for range 100 {
+		now = now.Add(200 * time.Millisecond)
+		b.Request(now)
+	}
+	retries := 0
+	for b.Retry(now) {
+		retries++
+	}
+	if retries < 5 {
+		t.Errorf("%d retries at once after 20 s of 5 requests a second, want 5 or more", retries)
 	}
 }
--- a/chain/chain.go
+++ b/chain/chain.go
@@ -145,6 +145,9 @@
 		if !at.reached {
 			continue
 		}
+		if !first && d != domain && s.now.Before(s.view.Cut[fleet.Link{From: s.domains[d], To: m.Domain}]) {
+			continue
+		}
 		total := at.cost + cost
 		switch {
 		case first && m.Domain != s.view.Domain:
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -19,6 +19,10 @@
 	probePeriod = 700 * time.Millisecond
 	// refusalPause keeps new work away from a server that was full; its queue drains in some hundred milliseconds.
 	refusalPause = 300 * time.Millisecond
+	// cutWindow is the time in which refusals for two servers of a domain show that the link to it is cut.
+	cutWindow = time.Second
+	// cutTime is how long such a link is not used; a request that tries it again costs one retry.
+	cutTime = 1500 * time.Millisecond
 	// reportEvery spaces the reports that refusals ask for.
 	reportEvery = 600 * time.Millisecond
 	// reportTrust is how long a report's layer range goes before the list's, which is up to two heartbeats old.
@@ -37,6 +41,14 @@
 		storeSince time.Time
 		regained   bool
 		dirty      bool
+		// refusals holds the last refusal over each link, and cut until when a link counts as cut.
+		refusals map[Link]refusal
+		cut      map[Link]time.Time
+	}
+
+	refusal struct {
+		server teaselstream.ServerID
+		at     time.Time
 	}
 
 	record struct {
@@ -99,6 +111,7 @@
 	c.dirty = false
 	v := &View{
 		At: now, Domain: c.Domain, Routing: c.routing, Peers: c.peers, StoreLost: c.storeLost, StoreSince: c.storeSince,
+		Cut:     maps.Clone(c.cut),
 		Members: make(map[teaselstream.ServerID]*Member, len(c.members)),
 		Pools:   make(map[teaselstream.ServiceID][]*Member),
 	}
@@ -270,6 +283,9 @@
 		return nil
 	}
 	r.PausedUntil, c.dirty = now.Add(refusalPause), true
+	if note, ok := c.judgeLink(now, r, m); ok {
+		return []teaselstream.Cmd{note}
+	}
 	if !m.Misplaced {
 		cmds := []teaselstream.Cmd{Note{Event: "ServerPaused", Server: r.ID, Reason: "refused work"}}
 		if now.Sub(r.askedAt) > reportEvery {
@@ -281,6 +297,25 @@
 	return []teaselstream.Cmd{ReadReport{Server: r.ID, Address: r.Address, Reason: "does not hold its range"}}
 }
 
+// judgeLink takes a link between two domains for cut after refusals for two of the servers behind it.
+func (c *Core) judgeLink(now time.Time, r *record, m Refused) (teaselstream.Cmd, bool) {
+	by := c.members[m.By]
+	if by == nil || by.Domain == r.Domain || m.Misplaced {
+		return nil, false
+	}
+	if c.refusals == nil {
+		c.refusals, c.cut = make(map[Link]refusal), make(map[Link]time.Time)
+	}
+	link := Link{by.Domain, r.Domain}
+	last := c.refusals[link]
+	c.refusals[link] = refusal{r.ID, now}
+	if last.server == "" || last.server == r.ID || now.Sub(last.at) > cutWindow {
+		return nil, false
+	}
+	c.cut[link] = now.Add(cutTime)
+	return Note{Event: "LinkCut", Server: r.ID, Reason: "from " + string(link.From) + " to " + string(link.To)}, true
+}
+
 func (c *Core) tick(now time.Time) []teaselstream.Cmd {
 	var cmds []teaselstream.Cmd
 	for _, id := range slices.Sorted(maps.Keys(c.members)) {
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -63,6 +63,9 @@
 		m := s.view.Members[id]
 		fmt.Fprintf(&out, "%s %s holds %s incarnation %d\n", id, m.State, m.Holds, m.Incarnation)
 	}
+	for link, until := range s.view.Cut {
+		fmt.Fprintf(&out, "no way from %s to %s until %s\n", link.From, link.To, until.Sub(s.start))
+	}
 	if s.view.Routing != nil {
 		fmt.Fprintf(&out, "generation %d\n", s.view.Routing.Generation)
 	}
@@ -93,7 +96,11 @@
 	case "silent":
 		return Silent{Server: id, Incarnation: r.Incarnation}
 	case "refused":
-		return Refused{Server: id, Misplaced: slices.Contains(f, "misplaced")}
+		by := teaselstream.ServerID("")
+		if len(f) > 2 && f[2] != "misplaced" {
+			by = teaselstream.ServerID(f[2])
+		}
+		return Refused{Server: id, By: by, Misplaced: slices.Contains(f, "misplaced")}
 	case "lost":
 		return StoreLost{}
 	case "regained":
@@ -122,6 +129,9 @@
 			r.Incarnation = teaselstream.Incarnation(born)
 		}
 		r.Draining = r.Draining || word == "draining"
+		if word == "far" {
+			r.Domain = "far"
+		}
 	}
 	return r
 }
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -45,6 +45,8 @@
 	// Refused says that a replica refused work as not run.
 	Refused struct {
 		Server teaselstream.ServerID
+		// By is the first server of the path, which reported the refusal.
+		By teaselstream.ServerID
 		// Misplaced says that the replica does not hold the range that was asked of it.
 		Misplaced bool
 	}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -48,6 +48,14 @@
 		// StoreSince is when the store was last lost or regained, and StoreLost whether it is lost.
 		StoreLost  bool
 		StoreSince time.Time
+		// Cut holds until when servers of one failure domain are taken to be out of reach of those of another.
+		Cut map[Link]time.Time
+	}
+
+	// Link is the way from servers of one failure domain to those of another.
+	Link struct {
+		From teaselstream.DomainID
+		To   teaselstream.DomainID
 	}
 )
 
--- a/flow/message.go
+++ b/flow/message.go
@@ -101,5 +101,7 @@
 		// Complete ends the answer as complete; otherwise Refusal says what the caller gets, or the connection is cut if the answer has begun.
 		Complete bool
 		Refusal  *teaselstream.Error
+		// CallerLeft says that there is nobody to answer.
+		CallerLeft bool
 	}
 )
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -40,6 +40,9 @@
 		Plan(now time.Time, avoid map[teaselstream.ServerID]bool, first teaselstream.ServerID) (teaselstream.Path, time.Duration, bool)
 		// Down reports whether a server is known not to answer.
 		Down(id teaselstream.ServerID) bool
+		// Beyond returns the servers that a part may be cut off with: those of its failure domain, if the first server of
+		// the path is in another one.
+		Beyond(first, part teaselstream.ServerID) []teaselstream.ServerID
 		// Resolve returns the server at an address.
 		Resolve(address string) teaselstream.ServerID
 	}
@@ -111,7 +114,7 @@
 		return s.timeOut()
 	case CallerGone:
 		s.done = true
-		return []teaselstream.Cmd{Abort{s.Attempt, "caller left"}, Finish{}}
+		return []teaselstream.Cmd{Abort{s.Attempt, "caller left"}, Finish{CallerLeft: true}}
 	case teaselstream.Tick:
 		return s.tick(now)
 	}
@@ -215,6 +218,9 @@
 		fault = s.Path[0].Server
 	}
 	s.avoid[fault] = true
+	for _, id := range s.Planner.Beyond(s.Path[0].Server, fault) {
+		s.avoid[id] = true
+	}
 	cmds := []teaselstream.Cmd{Abort{s.Attempt, "refused as not run"}}
 	if s.opens >= maxOpens || !s.MayRetry() {
 		return append(cmds, s.fail(teaselstream.CodeOverloaded, "servers refused the request", retryAfterFull)...)
--- a/flow/stream_test.go
+++ b/flow/stream_test.go
@@ -34,6 +34,19 @@
 
 func (p *scriptPlanner) Down(id teaselstream.ServerID) bool { return p.down[id] }
 
+// Beyond takes servers whose names begin with the same capital letter as one failure domain.
+func (p *scriptPlanner) Beyond(first, part teaselstream.ServerID) []teaselstream.ServerID {
+	var ids []teaselstream.ServerID
+	for _, path := range p.paths {
+		for _, x := range path {
+			if part[0] >= 'A' && part[0] <= 'Z' && first[0] != part[0] && x.Server[0] == part[0] {
+				ids = append(ids, x.Server)
+			}
+		}
+	}
+	return ids
+}
+
 func (p *scriptPlanner) Resolve(address string) teaselstream.ServerID {
 	return teaselstream.ServerID(address)
 }
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -67,7 +67,7 @@
 		r.refuse(status, refusal)
 		return
 	}
-	h.Budget.Request()
+	h.Budget.Request(time.Now())
 	if r.pool.Engine != nil {
 		r.stream()
 		return
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -78,6 +78,21 @@
 	return m == nil || m.State == fleet.Down
 }
 
+func (p *streamPlanner) Beyond(first, part teaselstream.ServerID) []teaselstream.ServerID {
+	v := p.request.handler.View()
+	a, b := v.Members[first], v.Members[part]
+	if a == nil || b == nil || a.Domain == b.Domain {
+		return nil
+	}
+	var ids []teaselstream.ServerID
+	for _, m := range v.Pools[b.Service] {
+		if m.Domain == b.Domain {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
 func (p *streamPlanner) Resolve(address string) teaselstream.ServerID {
 	if address == "" {
 		return ""
@@ -348,7 +363,7 @@
 	if m := h.View().ByAddress(a.head.Fault); a.head.Fault != "" && m != nil {
 		id = m.ID
 	}
-	h.Post(fleet.Refused{Server: id, Misplaced: a.status == http.StatusMisdirectedRequest})
+	h.Post(fleet.Refused{Server: id, By: path[0].Server, Misplaced: a.status == http.StatusMisdirectedRequest})
 }
 
 func (s *streamRun) probe(c flow.Probe) {
@@ -428,6 +443,9 @@
 			s.log("AnswerNotDelivered", slog.LevelInfo, "error", err.Error())
 		}
 		s.finished("", teaselstream.Ran)
+	case c.CallerLeft:
+		s.Cut()
+		s.finished(teaselstream.CodeCanceled, teaselstream.Unknown)
 	default:
 		s.Cut()
 		s.finished(teaselstream.CodeServerLost, teaselstream.Unknown)
