--- a/chain/chain.go
+++ b/chain/chain.go
@@ -20,9 +20,9 @@
 	// fullCost is added for a part whose memory the running requests would exceed.
 	fullCost = 4 * time.Second
 	// loadWeight scales how much a part in use costs more than an idle one.
-	loadWeight = 6.0
+	loadWeight = 8.0
 	// headWeight scales how much the load of a path's first part adds, in usual times of a whole request.
-	headWeight = 4.0
+	headWeight = 6.0
 	// hopTime is the network and queueing time of one part for one pass.
 	hopTime = 500 * time.Microsecond
 	// jitter is the largest random share added to a part's cost, so that VMs with the same view do not choose alike.
@@ -167,14 +167,14 @@
 	stride := max(s.engine.Stride, 1)
 	busy := s.step(m, r)*time.Duration(answer) + hopTime*time.Duration(answer/stride+1) + s.read(m, r)
 	load := s.load(m)
-	factor := 1 + loadWeight*load*load
+	factor := 1 + loadWeight*pressure(load)
 	if s.planner.Rand != nil {
 		factor *= 1 + jitter*s.planner.Rand.Float64()
 	}
 	total := time.Duration(float64(busy) * factor)
 	if r.From == 0 {
 		// The first part's load stands for the whole path, since the servers behind it state theirs only when probed.
-		total += time.Duration(headWeight * load * load * float64(s.usual))
+		total += time.Duration(headWeight * pressure(load) * float64(s.usual))
 	}
 	if load > 1 {
 		total += time.Duration(float64(fullCost) * load)
@@ -188,6 +188,10 @@
 	return total
 }
 
+// pressure grows steeply with load: a part that is half in use costs little more than an idle one, so that paths stay
+// in their failure domain, and one that is nearly full is left to others.
+func pressure(load float64) float64 { return load * load * load * load }
+
 func (s *search) share(r teaselstream.LayerRange) float64 {
 	return float64(r.Len()) / float64(max(s.engine.Layers, 1))
 }
