--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -41,6 +41,8 @@
 	conn   *upstream
 	// delimited says that the framing of the body states its end.
 	delimited bool
+	// detach parts the connection from the context of its request; it returns false if that has ended and closed it.
+	detach func() bool
 }
 
 // send writes a request to a server and reads the head of its answer. The connection closes when ctx ends.
@@ -57,6 +59,7 @@
 		u.discard()
 		return nil, err
 	}
+	a.detach = stop
 	return a, nil
 }
 
@@ -129,7 +132,7 @@
 }
 
 func (a *answer) release(p *Pool) {
-	if !a.delimited {
+	if !a.detach() || !a.delimited {
 		a.conn.discard()
 		return
 	}
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"github.com/teaselstream/teaselstream"
 )
 
 // hopHeaders concern one connection and are not passed on.
@@ -88,3 +90,15 @@
 	lengths := q.Header.Values("Content-Length")
 	return len(q.TransferEncoding) > 0 && len(lengths) > 0 || len(slices.Compact(slices.Clone(lengths))) > 1
 }
+
+// headerSize returns the bytes of a request's line and header as they usually stand on the wire.
+func headerSize(q *http.Request) teaselstream.Bytes {
+	const separators = 4
+	n := len(q.Method) + len(q.RequestURI) + len(q.Proto) + separators + len(q.Host) + len("Host: \r\n")
+	for name, values := range q.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return teaselstream.Bytes(n)
+}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -24,8 +24,6 @@
 	defaultIdleTimeout   = 15 * time.Second
 	defaultMaxHeader     = 16384
 	defaultMaxBody       = 4 << 20
-	// headerSlack is read beyond the limit on headers, so that the error can be told from the end of the data.
-	headerSlack = 4096
 	// writeTimeout bounds one write to a caller that does not read.
 	writeTimeout = 5 * time.Second
 	// bodyTimeout bounds the pause between two pieces of a caller's body.
@@ -185,13 +183,17 @@
 	if !c.until(l.HeaderTimeout) {
 		return nil, false
 	}
-	c.limited.N = int64(l.MaxHeader) + headerSlack
+	c.limited.N = int64(l.MaxHeader)
 	q, err := http.ReadRequest(c.reader)
 	if err != nil {
 		c.refuseRead(err)
 		return nil, false
 	}
 	c.limited.N = math.MaxInt64
+	if headerSize(q) > l.MaxHeader {
+		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
+		return nil, false
+	}
 	if ambiguous(q) || q.Host == "" && q.ProtoAtLeast(1, 1) {
 		c.refuse(http.StatusBadRequest)
 		return nil, false
--- /dev/null
+++ b/share/share_test.go
@@ -0,0 +1,153 @@
+package share
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/fleet"
+)
+
+// Guards against changes that are skipped, repeated, or offered although the log does not reach back.
+func TestLog(t *testing.T) {
+	var l Log
+	now := time.Unix(1000, 0)
+	if _, _, ok := l.Since("", 0); ok {
+		t.Error("an empty log covers revision 0")
+	}
+	l.Add(now, 5, 7, []teaselstream.Entry{{Key: "a/1", Revision: 6}, {Key: "b/1", Revision: 7}})
+	l.Add(now, 7, 9, []teaselstream.Entry{{Key: "a/2", Revision: 9}})
+	for _, x := range []struct {
+		prefix string
+		after  teaselstream.Revision
+		keys   string
+		at     teaselstream.Revision
+		ok     bool
+	}{
+		{"", 5, "[a/1 b/1 a/2]", 9, true}, {"a/", 6, "[a/2]", 9, true}, {"", 9, "[]", 9, true}, {"", 12, "[]", 12, true}, {"", 4, "[]", 0, false},
+	} {
+		entries, at, ok := l.Since(x.prefix, x.after)
+		var keys []string
+		for _, e := range entries {
+			keys = append(keys, e.Key)
+		}
+		if fmt.Sprint(keys) != x.keys || at != x.at || ok != x.ok {
+			t.Errorf("Since(%q, %d) = %v, %d, %t; want %s, %d, %t", x.prefix, x.after, keys, at, ok, x.keys, x.at, x.ok)
+		}
+	}
+	l.Add(now, 20, 21, []teaselstream.Entry{{Key: "a/3", Revision: 21}})
+	if _, _, ok := l.Since("", 9); ok {
+		t.Error("the log covers a gap between two answers")
+	}
+}
+
+// fakeStore is a store at one revision whose calls are counted.
+type fakeStore struct {
+	teaselstream.Directory
+	mu    sync.Mutex
+	at    teaselstream.Revision
+	calls int
+	down  bool
+}
+
+func (s *fakeStore) Follow(_ context.Context, _ string, after teaselstream.Revision, _ time.Duration) ([]teaselstream.Entry, teaselstream.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return nil, 0, teaselstream.ErrUnavailable
+	}
+	var entries []teaselstream.Entry
+	for r := after + 1; r <= s.at; r++ {
+		entries = append(entries, teaselstream.Entry{Key: fmt.Sprintf("k/%d", r), Revision: r})
+	}
+	return entries, s.at, nil
+}
+
+// domainOf starts the directories of n VMs of one domain before a store.
+func domainOf(t *testing.T, n int, store *fakeStore) []*Directory {
+	t.Helper()
+	var peers []fleet.Peer
+	var all []*Directory
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		p := fleet.Peer{Name: teaselstream.VMID(fmt.Sprintf("vm%d", i)), Domain: "zone", Address: l.Addr().String()}
+		peers = append(peers, p)
+		d := &Directory{Directory: store, Self: p, Peers: func() []fleet.Peer { return peers }, Log: slog.New(slog.DiscardHandler)}
+		go func() { _ = d.Serve(l) }()
+		all = append(all, d)
+	}
+	return all
+}
+
+// Guards against store calls that grow with the VMs of a domain, and against VMs that miss changes behind a reader.
+func TestFollowThroughReaders(t *testing.T) {
+	store := &fakeStore{at: 3}
+	all := domainOf(t, 12, store)
+	var asking []*Directory
+	for _, d := range all {
+		from, shares := d.sources()
+		if !shares {
+			t.Fatal("a domain of 12 VMs does not share readers")
+		}
+		if from != nil {
+			asking = append(asking, d)
+			continue
+		}
+		if _, _, err := d.Follow(context.Background(), "", 0, time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(asking) != 12-readers {
+		t.Fatalf("%d VMs ask readers, want %d", len(asking), 12-readers)
+	}
+	before := store.calls
+	for _, d := range asking {
+		entries, at, err := d.Follow(context.Background(), "", 0, time.Second)
+		if err != nil || len(entries) != 3 || at != 3 {
+			t.Errorf("Follow() = %d entries at %d, %v; want 3 at 3", len(entries), at, err)
+		}
+	}
+	if store.calls != before {
+		t.Errorf("%d store calls by VMs that are not readers, want none", store.calls-before)
+	}
+}
+
+// Guards against VMs that know nothing new because their readers have lost the store.
+func TestReadersWithoutStore(t *testing.T) {
+	store := &fakeStore{at: 3}
+	all := domainOf(t, 8, store)
+	var asking *Directory
+	for _, d := range all {
+		if from, _ := d.sources(); from != nil {
+			asking = d
+		}
+	}
+	if _, at, err := asking.Follow(context.Background(), "", 0, time.Second); err != nil || at != 3 {
+		t.Errorf("Follow() at %d, %v, want the store's own answer", at, err)
+	}
+	store.down = true
+	if _, _, err := asking.Follow(context.Background(), "", 3, time.Second); !errors.Is(err, teaselstream.ErrUnavailable) {
+		t.Errorf("Follow() error %v, want %v", err, teaselstream.ErrUnavailable)
+	}
+}
+
+// Guards against small domains that depend on another VM without need.
+func TestSmallDomainReadsItself(t *testing.T) {
+	all := domainOf(t, leastVMs-1, &fakeStore{at: 1})
+	for _, d := range all {
+		if from, shares := d.sources(); from != nil || shares {
+			t.Errorf("%s asks %v", d.Self.Name, from)
+		}
+	}
+}
--- /dev/null
+++ b/watch/watch_test.go
@@ -0,0 +1,148 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/fleet"
+)
+
+// scriptedStore answers lists and follows with the next of some steps.
+type scriptedStore struct {
+	teaselstream.Directory
+	mu      sync.Mutex
+	lists   map[string][]teaselstream.Entry
+	follows []follow
+	done    func()
+	granted int
+	swaps   []teaselstream.Revision
+	keep    error
+}
+
+type follow struct {
+	entries []teaselstream.Entry
+	err     error
+}
+
+func (s *scriptedStore) List(_ context.Context, prefix string) ([]teaselstream.Entry, teaselstream.Revision, error) {
+	return s.lists[prefix], 10, nil
+}
+
+func (s *scriptedStore) Follow(_ context.Context, _ string, after teaselstream.Revision, _ time.Duration) ([]teaselstream.Entry, teaselstream.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.follows) == 0 {
+		s.done()
+		return nil, after, nil
+	}
+	f := s.follows[0]
+	s.follows = s.follows[1:]
+	return f.entries, after + 1, f.err
+}
+
+func (s *scriptedStore) Grant(context.Context, time.Duration) (teaselstream.LeaseID, error) {
+	s.granted++
+	return teaselstream.LeaseID(s.granted), nil
+}
+
+func (s *scriptedStore) KeepAlive(context.Context, teaselstream.LeaseID) error { return s.keep }
+
+func (s *scriptedStore) Get(context.Context, string) (teaselstream.Record, error) {
+	return teaselstream.Record{Revision: 7}, nil
+}
+
+func (s *scriptedStore) CompareAndSwap(_ context.Context, _ string, expected teaselstream.Revision, _ []byte, _ teaselstream.LeaseID) (teaselstream.Revision, error) {
+	s.swaps = append(s.swaps, expected)
+	if expected != 7 {
+		return 0, teaselstream.ErrConflict
+	}
+	return 8, nil
+}
+
+// Guards against changes that are lost when the store loses its history or its contact, against unreadable entries that
+// stop the rest, and against a loss or return of the store that the core does not learn of before the changes.
+func TestFollower(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &scriptedStore{done: cancel, lists: map[string][]teaselstream.Entry{
+		"cfg": {{Key: "cfg", Value: []byte("1")}}, "srv/": {{Key: "srv/a"}, {Key: "srv/bad"}}, vmPrefix: {{Key: "vm/x", Value: []byte(`{"Name":"x"}`)}},
+	}, follows: []follow{
+		{entries: []teaselstream.Entry{{Key: "srv/b"}, {Key: "srv/bad"}, {Key: "srv/a", Deleted: true}, {Key: "other"}}},
+		{err: teaselstream.ErrUnavailable},
+		{entries: []teaselstream.Entry{{Key: "cfg", Value: []byte("2")}, {Key: "vm/x", Deleted: true}}},
+		{err: teaselstream.ErrCompacted},
+	}}
+	var got []string
+	f := &Follower{
+		Directory: s, RoutingKey: "cfg", ReplicaPrefix: "srv/", Rand: rand.New(rand.NewPCG(1, 2)), Log: slog.New(slog.DiscardHandler),
+		DecodeRouting: func(v []byte) (*teaselstream.Routing, error) {
+			return &teaselstream.Routing{Generation: teaselstream.Generation(v[0] - '0')}, nil
+		},
+		DecodeReplica: func(key string, _ []byte) (teaselstream.Replica, error) {
+			if key == "srv/bad" {
+				return teaselstream.Replica{}, errors.New("unreadable")
+			}
+			return teaselstream.Replica{ID: teaselstream.ServerID(strings.TrimPrefix(key, "srv/"))}, nil
+		},
+		Post: func(m teaselstream.Msg) { got = append(got, describe(m)) },
+	}
+	f.Run(ctx)
+	want := "config 1; list [a]; 1 VMs; changed b; removed a; lost; regained; config 2; 0 VMs; config 1; list [a]; 1 VMs"
+	if text := strings.Join(got, "; "); text != want {
+		t.Errorf("messages:\n%s\nwant:\n%s", text, want)
+	}
+}
+
+func describe(m teaselstream.Msg) string {
+	switch m := m.(type) {
+	case fleet.RoutingRead:
+		return fmt.Sprintf("config %d", m.Routing.Generation)
+	case fleet.Listed:
+		var ids []teaselstream.ServerID
+		for _, r := range m.Replicas {
+			ids = append(ids, r.ID)
+		}
+		return fmt.Sprintf("list %v", ids)
+	case fleet.Changed:
+		return "changed " + string(m.Replica.ID)
+	case fleet.Removed:
+		return "removed " + string(m.Server)
+	case fleet.PeersListed:
+		return fmt.Sprintf("%d VMs", len(m.Peers))
+	case fleet.StoreLost:
+		return "lost"
+	case fleet.StoreRegained:
+		return "regained"
+	}
+	return fmt.Sprintf("%T", m)
+}
+
+// Guards against a VM that stays unregistered because an earlier run of it left its entry, or because its lease lapsed.
+func TestRegistrar(t *testing.T) {
+	s := &scriptedStore{}
+	r := &Registrar{Directory: s, Self: fleet.Peer{Name: "x"}, Log: slog.New(slog.DiscardHandler)}
+	if err := r.step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if fmt.Sprint(s.swaps) != "[0 7]" {
+		t.Errorf("writes expected revisions %v, want the absent key and then the entry that was left", s.swaps)
+	}
+	if err := r.step(context.Background()); err != nil || s.granted != 1 {
+		t.Errorf("renewal: error %v, %d leases, want one", err, s.granted)
+	}
+	s.keep = teaselstream.ErrNotFound
+	if err := r.step(context.Background()); err != nil || s.granted != 2 {
+		t.Errorf("lapsed lease: error %v, %d leases, want two", err, s.granted)
+	}
+	s.keep = teaselstream.ErrUnavailable
+	if err := r.step(context.Background()); !errors.Is(err, teaselstream.ErrUnavailable) || s.granted != 2 {
+		t.Errorf("store away: error %v, %d leases, want the lease kept", err, s.granted)
+	}
+}
