--- a/chain/chain_test.go
+++ b/chain/chain_test.go
@@ -88,9 +88,9 @@
 		case "slow":
 			m.Slowdown = 5
 		case "running":
-			m.Use.Observe(testStart, int(number(t, value)), 0)
+			m.Use.Observe(testStart, int(number(t, value)), 0, 0)
 		case "cache":
-			m.Use.Observe(testStart, 0, number(t, value))
+			m.Use.Observe(testStart, 0, 0, number(t, value))
 		case "own":
 			m.Use.Requests.Store(int64(number(t, value)))
 		}
@@ -180,7 +180,7 @@
 		}
 		m := v.Members[path[0].Server]
 		m.Use.Requests.Add(1)
-		m.Use.Observe(testStart, int(m.Use.Requests.Load()), -1)
+		m.Use.Observe(testStart, int(m.Use.Requests.Load()), 0, -1)
 	}
 	if a, b := heads[0].Use.Requests.Load(), heads[1].Use.Requests.Load(); a < 40 || b < 40 {
 		t.Errorf("heads got %d and %d of 100 requests, want at least 40 each", a, b)
--- a/cover/layout.go
+++ b/cover/layout.go
@@ -11,7 +11,7 @@
 const (
 	// slotShare is the share of a server's slots for whose usual requests it keeps memory beside its layers. A path runs
 	// at most as many requests as its first server has slots.
-	slotShare = 0.6
+	slotShare = 0.8
 	// defaultSlots and defaultTokens hold where the platform does not state slots or usual sizes.
 	defaultSlots  = 128
 	defaultTokens = 1000
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -250,7 +250,7 @@
 		r.Slowdown = m.Report.Pace
 	}
 	if m.Report.CacheTotal > 0 {
-		r.Use.Observe(now, m.Report.Running+m.Report.Waiting, float64(m.Report.CacheUsed)/float64(m.Report.CacheTotal))
+		r.Use.Observe(now, m.Report.Running, m.Report.Waiting, float64(m.Report.CacheUsed)/float64(m.Report.CacheTotal))
 	}
 	var cmds []teaselstream.Cmd
 	if r.State == Down {
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -144,12 +144,12 @@
 		t.Error("Running() is known before any statement")
 	}
 	u.Requests.Store(3)
-	u.Observe(now, 10, 0.5)
+	u.Observe(now, 8, 2, 0.5)
 	u.Requests.Store(5)
 	if n, ok := u.Running(now.Add(time.Second)); !ok || n != 12 {
 		t.Errorf("Running() = %d, %t after two more own requests, want 12, true", n, ok)
 	}
-	u.Observe(now, 20, -1)
+	u.Observe(now, 20, 0, -1)
 	if share, _ := u.Cache(now); share != 0.5 {
 		t.Errorf("Cache() = %v after a statement without memory, want the earlier 0.5", share)
 	}
--- a/fleet/use.go
+++ b/fleet/use.go
@@ -9,6 +9,8 @@
 const (
 	// loadTrust is how long a server's statement of its load is corrected by own requests; a stream lasts some seconds.
 	loadTrust = 3 * time.Second
+	// waitTrust is how long the stated queue of a server holds; a queue turns over in about a second.
+	waitTrust = 600 * time.Millisecond
 )
 
 type (
@@ -28,6 +30,7 @@
 	stated struct {
 		at      time.Time
 		running int
+		waiting int
 		cache   float64
 		own     int64
 	}
@@ -35,13 +38,13 @@
 
 // Observe records the running and waiting requests that a server states, and the share of its memory in use; a
 // negative share means that it did not say.
-func (u *Use) Observe(now time.Time, running int, cache float64) {
+func (u *Use) Observe(now time.Time, running, waiting int, cache float64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if cache < 0 {
 		cache = u.stated.cache
 	}
-	u.stated = stated{at: now, running: running, cache: cache, own: u.Requests.Load()}
+	u.stated = stated{at: now, running: running, waiting: waiting, cache: cache, own: u.Requests.Load()}
 }
 
 // Running estimates the requests at the server, from its last statement and what this VM sent and ended since;
@@ -52,7 +55,20 @@
 	if u.stated.at.IsZero() || now.Sub(u.stated.at) > loadTrust {
 		return 0, false
 	}
-	return max(u.stated.running+int(u.Requests.Load()-u.stated.own), 0), true
+	return max(u.stated.running+u.stated.waiting+int(u.Requests.Load()-u.stated.own), 0), true
+}
+
+// Wait estimates how long a new request waits at the server for others to end, if each takes a given time; it is 0
+// without a very recent statement.
+func (u *Use) Wait(now time.Time, each time.Duration) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	s := u.stated
+	if s.at.IsZero() || now.Sub(s.at) > waitTrust || s.running == 0 || s.waiting == 0 {
+		return 0
+	}
+	waiting := s.waiting + int(max(u.Requests.Load()-s.own, 0))
+	return each * time.Duration(waiting) / time.Duration(s.running)
 }
 
 // Cache returns the share of memory that the server last stated; ok is false if there is no recent statement.
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -29,6 +29,8 @@
 	refusalWait = 40 * time.Millisecond
 	// retryAfterFull tells a caller when to come back after refusals for lack of room; a usual stream lasts about this long.
 	retryAfterFull = 1 * time.Second
+	// maxRetryAfter bounds the time after which a caller is asked to come back when the queues are long.
+	maxRetryAfter = 3 * time.Second
 	// retryAfterLost tells a caller when to come back while no path covers all layers; a lost range is loaded again in about this time.
 	retryAfterLost = 2 * time.Second
 )
@@ -38,6 +40,8 @@
 	Planner interface {
 		// Plan returns a path that avoids servers and starts at first, unless that is empty.
 		Plan(now time.Time, avoid map[teaselstream.ServerID]bool, first teaselstream.ServerID) (teaselstream.Path, time.Duration, bool)
+		// Wait estimates how long the request would wait for others on a path.
+		Wait(now time.Time, path teaselstream.Path) time.Duration
 		// Down reports whether a server is known not to answer.
 		Down(id teaselstream.ServerID) bool
 		// Beyond returns the servers that a part may be cut off with: those of its failure domain, if the first server of
@@ -56,6 +60,8 @@
 		Resumable bool
 		// MaxServers bounds the servers on which the request may run.
 		MaxServers int
+		// Objective is the time within which the first event is worth most; 0 means none.
+		Objective time.Duration
 		// LastEvent is the last event that the caller has from an earlier request.
 		LastEvent uint64
 	}
@@ -146,6 +152,11 @@
 	if !ok {
 		return s.fail(teaselstream.CodeNoRoute, "no path covers all layers", retryAfterLost)
 	}
+	if wait := s.Planner.Wait(now, path); s.opens == 0 && s.LastEvent == 0 && s.Objective > 0 && wait > s.Objective {
+		// The queue would make this request late and those behind it too, although others would be in time. A resumed
+		// stream goes on, since most of its work is done.
+		return s.fail(teaselstream.CodeOverloaded, "servers have too many requests waiting", min(wait, maxRetryAfter))
+	}
 	s.Attempt++
 	s.opens++
 	s.Path, s.step = path, step
--- a/flow/stream_test.go
+++ b/flow/stream_test.go
@@ -17,6 +17,7 @@
 type scriptPlanner struct {
 	paths []teaselstream.Path
 	down  map[teaselstream.ServerID]bool
+	wait  time.Duration
 }
 
 func (p *scriptPlanner) Plan(_ time.Time, avoid map[teaselstream.ServerID]bool, first teaselstream.ServerID) (teaselstream.Path, time.Duration, bool) {
@@ -32,6 +33,8 @@
 	return nil, 0, false
 }
 
+func (p *scriptPlanner) Wait(time.Time, teaselstream.Path) time.Duration { return p.wait }
+
 func (p *scriptPlanner) Down(id teaselstream.ServerID) bool { return p.down[id] }
 
 // Beyond takes servers whose names begin with the same capital letter as one failure domain.
@@ -72,6 +75,15 @@
 	case "stream":
 		s.planner = &scriptPlanner{down: make(map[teaselstream.ServerID]bool)}
 		s.stream = &Stream{Options: Options{Planner: s.planner, MaxServers: 2, MayRetry: s.mayRetry, Resumable: !d.HasArg("once")}}
+		s.stream.Objective = 500 * time.Millisecond
+		if d.HasArg("wait") {
+			var wait string
+			d.ScanArgs(t, "wait", &wait)
+			s.planner.wait, _ = time.ParseDuration(wait)
+		}
+		if d.HasArg("resumed") {
+			s.stream.LastEvent = 3
+		}
 		s.retries = 100
 		if d.HasArg("retries") {
 			d.ScanArgs(t, "retries", &s.retries)
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -35,8 +35,9 @@
 		// Post hands what was seen of a server to the control side.
 		Post func(teaselstream.Msg)
 
-		pool   Pool
-		prober prober
+		pool      Pool
+		prober    prober
+		durations durations
 	}
 
 	// request is one caller's request on its way through the handler.
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -73,6 +73,14 @@
 	return p.request.handler.Planner.Plan(now, p.request.handler.View(), ask)
 }
 
+func (p *streamPlanner) Wait(now time.Time, path teaselstream.Path) time.Duration {
+	m := p.request.handler.View().Members[path[0].Server]
+	if m == nil {
+		return 0
+	}
+	return m.Use.Wait(now, p.request.handler.durations.mean())
+}
+
 func (p *streamPlanner) Down(id teaselstream.ServerID) bool {
 	m := p.request.handler.View().Members[id]
 	return m == nil || m.State == fleet.Down
@@ -117,6 +125,7 @@
 		}},
 		MayRetry:  func() bool { return h.Budget.Retry(time.Now()) },
 		Resumable: r.route.Resumable || r.route.Idempotent, MaxServers: max(r.route.MaxServers, 1), LastEvent: r.head.LastEvent,
+		Objective: r.route.Objective,
 	}
 	defer s.end()
 	cmds := s.core.Update(time.Now(), flow.Start{})
@@ -185,7 +194,7 @@
 		return
 	}
 	if m := s.handler.View().Members[s.core.Path[0].Server]; m != nil {
-		m.Use.Observe(now, o.Answer.Running+o.Answer.Waiting, -1)
+		m.Use.Observe(now, o.Answer.Running, o.Answer.Waiting, -1)
 	}
 }
 
@@ -442,6 +451,7 @@
 			s.Cut()
 			s.log("AnswerNotDelivered", slog.LevelInfo, "error", err.Error())
 		}
+		s.handler.durations.add(time.Since(s.Arrived))
 		s.finished("", teaselstream.Ran)
 	case c.CallerLeft:
 		s.Cut()
