--- a/cover/survey.go
+++ b/cover/survey.go
@@ -38,13 +38,13 @@
 		if m.Domain != domain || e.Kinds[m.Accelerator].Memory == 0 {
 			continue
 		}
-		switch {
-		case m.State == fleet.Down:
+		switch m.State {
+		case fleet.Down:
 			s.down++
 			if now.Sub(m.DownSince) < doubtTime && m.LeavingSince.IsZero() {
 				s.doubtful = append(s.doubtful, m)
 			}
-		case m.State == fleet.Leaving:
+		case fleet.Leaving:
 			s.leaving = append(s.leaving, m)
 		default:
 			s.live = append(s.live, m)
--- a/flow/call.go
+++ b/flow/call.go
@@ -34,9 +34,8 @@
 		running int
 		ran     int
 		// failed is a send whose replica answered with a failure of its own, which is passed on if nothing better comes.
-		failed  int
-		waiting bool
-		done    bool
+		failed int
+		done   bool
 	}
 
 	// CallStart begins the call.
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -161,7 +161,7 @@
 			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(event)) > 0 {
 				err = io.ErrUnexpectedEOF
 			}
-			return nil, 0, err
+			return nil, 0, fmt.Errorf("read event: %w", err)
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 && len(bytes.TrimSpace(event)) > 0 {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -71,7 +71,9 @@
 	}
 	w := x.conn.writer
 	if x.chunked {
-		fmt.Fprintf(w, "%x\r\n", len(data))
+		if _, err := fmt.Fprintf(w, "%x\r\n", len(data)); err != nil {
+			return fmt.Errorf("write answer: %w", err)
+		}
 	}
 	if _, err := w.Write(data); err != nil {
 		return fmt.Errorf("write answer: %w", err)
--- a/proxy/message.go
+++ b/proxy/message.go
@@ -44,7 +44,9 @@
 
 func (m *message) write(w io.Writer) error {
 	b := bufio.NewWriter(w)
-	fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", m.method, m.target, m.host)
+	if _, err := fmt.Fprintf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", m.method, m.target, m.host); err != nil {
+		return fmt.Errorf("write request line: %w", err)
+	}
 	m.header.Del("Content-Length")
 	if len(m.body) > 0 || m.method != http.MethodGet && m.method != http.MethodHead {
 		m.header.Set("Content-Length", strconv.Itoa(len(m.body)))
@@ -70,7 +72,9 @@
 	if text == "" {
 		text = "Status"
 	}
-	fmt.Fprintf(w, "HTTP/1.1 %d %s\r\n", status, text)
+	if _, err := fmt.Fprintf(w, "HTTP/1.1 %d %s\r\n", status, text); err != nil {
+		return fmt.Errorf("write status line: %w", err)
+	}
 	if err := h.Write(w); err != nil {
 		return fmt.Errorf("write header: %w", err)
 	}
