--- a/flow/stream.go
+++ b/flow/stream.go
@@ -90,7 +90,9 @@
 		opened    bool
 		begun     bool
 		reopen    time.Time
-		done      bool
+		// owed says that the next send still has to draw on the retry budget.
+		owed bool
+		done bool
 	}
 )
 
@@ -233,7 +235,13 @@
 		s.avoid[id] = true
 	}
 	cmds := []teaselstream.Cmd{Abort{s.Attempt, "refused as not run"}}
-	if s.opens >= maxOpens || !s.MayRetry() {
+	if s.opens >= maxOpens {
+		return append(cmds, s.fail(teaselstream.CodeOverloaded, "servers refused the request", retryAfterFull)...)
+	}
+	if !s.MayRetry() {
+		if s.waitForBudget(now) {
+			return cmds
+		}
 		return append(cmds, s.fail(teaselstream.CodeOverloaded, "servers refused the request", retryAfterFull)...)
 	}
 	if s.opens == 1 {
@@ -285,12 +293,29 @@
 	if s.mayHaveRun && !s.mayRepeat() {
 		return s.fail(teaselstream.CodeServerLost, reason, 0)
 	}
-	if s.opens >= maxOpens || s.counted() >= max(s.MaxServers, 1) || s.runs > 0 && !s.MayRetry() {
+	if s.opens >= maxOpens || s.counted() >= max(s.MaxServers, 1) {
+		return s.fail(teaselstream.CodeServerLost, reason, retryAfterFull)
+	}
+	if s.runs > 0 && !s.MayRetry() {
+		if s.waitForBudget(now) {
+			return nil
+		}
 		return s.fail(teaselstream.CodeServerLost, reason, retryAfterFull)
 	}
 	return s.open(now, reason)
 }
 
+// waitForBudget keeps a running stream while its caller still waits for the next event: the loss of one server ends many
+// streams at once, and the budget for sending them again fills within a second or two.
+func (s *Stream) waitForBudget(now time.Time) bool {
+	if !s.delivered || now.Sub(s.progress) >= patience {
+		return false
+	}
+	s.owed = true
+	s.reopen = now.Add(planWait)
+	return true
+}
+
 // counted returns the servers that count against MaxServers: those that have ended since do not.
 func (s *Stream) counted() int {
 	n := 0
@@ -307,7 +332,14 @@
 		if now.Before(s.reopen) {
 			return nil
 		}
-		return s.open(now, "waited for a path")
+		if s.owed && !s.MayRetry() {
+			if s.waitForBudget(now) {
+				return nil
+			}
+			return s.fail(teaselstream.CodeServerLost, "retry budget is used up", 0)
+		}
+		s.owed = false
+		return s.open(now, "waited for a path or budget")
 	}
 	silent := now.Sub(s.progress)
 	if s.probing || s.moving || silent < s.probeWait {
--- a/flow/stream_test.go
+++ b/flow/stream_test.go
@@ -162,6 +162,9 @@
 	case "up":
 		delete(s.planner.down, teaselstream.ServerID(f[2]))
 		return nil
+	case "refill":
+		s.retries = int(numberOf(f[2]))
+		return nil
 	case "vacate":
 		return s.stream.Vacate(now, teaselstream.ServerID(f[2]))
 	case "tick":
