flow: keep a silent attempt until another can replace it

Now it is left only when a path, the route and the budget allow the next send; its server may go on, and the caller or the time limit ends it otherwise.

--- a/flow/loss.go
+++ b/flow/loss.go
@@ -25,9 +25,8 @@
 		return nil
 	}
 	if silent > hungTime && s.mayRepeat() && s.counted() < max(s.MaxServers, 1) {
-		s.note()
 		s.avoid[s.Path[0].Server] = true
-		return append([]teaselstream.Cmd{Abort{s.Attempt, "no event"}}, s.again(now, "no event")...)
+		return s.resume(now, "no event")
 	}
 	s.probing = true
 	s.probeWait = time.Duration(float64(s.probeWait) * probeGrowth)
@@ -62,13 +61,7 @@
 // leave moves the request off the servers that it must avoid.
 func (s *Stream) leave(now time.Time, reason string) []teaselstream.Cmd {
 	if s.avoid[s.Path[0].Server] {
-		if !s.begun {
-			s.note()
-		}
-		if !s.mayRepeat() {
-			return nil
-		}
-		return append([]teaselstream.Cmd{Abort{s.Attempt, reason}}, s.again(now, reason)...)
+		return s.resume(now, reason)
 	}
 	hit := false
 	for _, p := range s.Path {
@@ -88,11 +81,19 @@
 		s.Path, s.step = path, step
 		return []teaselstream.Cmd{Repath{s.Attempt, path, reason}}
 	}
-	if !s.mayRepeat() {
+	return s.resume(now, reason)
+}
+
+// resume leaves the running attempt for another one if a path, the route and the retry budget allow that now. Otherwise
+// the attempt is kept: its server may go on, and silence alone is no reason to end an answer.
+func (s *Stream) resume(now time.Time, reason string) []teaselstream.Cmd {
+	s.note()
+	_, _, ok := s.Planner.Plan(now, s.avoid, "")
+	if !ok || !s.mayRepeat() || s.opens >= maxOpens || s.counted() >= max(s.MaxServers, 1) || !s.MayRetry() {
+		s.probeWait = now.Sub(s.progress) + planWait
 		return nil
 	}
-	s.note()
-	return append([]teaselstream.Cmd{Abort{s.Attempt, reason}}, s.again(now, reason)...)
+	return append([]teaselstream.Cmd{Abort{s.Attempt, reason}}, s.open(now, reason)...)
 }
 
 func (s *Stream) onRepathed(now time.Time, m Repathed) []teaselstream.Cmd {
@@ -106,11 +107,7 @@
 		s.probeWait = max(s.probeWait, firstProbe)
 		return nil
 	}
-	if !s.mayRepeat() {
-		return nil
-	}
-	s.note()
-	return append([]teaselstream.Cmd{Abort{s.Attempt, "move failed"}}, s.again(now, "move failed")...)
+	return s.resume(now, "move failed")
 }
 
 // Vacate tells the stream that a server on its path will end soon.
