--- a/flow/loss.go
+++ b/flow/loss.go
@@ -78,6 +78,7 @@
 	if ok && s.repaths < maxRepaths {
 		s.repaths++
 		s.moving = true
+		s.before = s.Path
 		s.Path, s.step = path, step
 		return []teaselstream.Cmd{Repath{s.Attempt, path, reason}}
 	}
@@ -88,6 +89,11 @@
 // the attempt is kept: its server may go on, and silence alone is no reason to end an answer.
 func (s *Stream) resume(now time.Time, reason string) []teaselstream.Cmd {
 	s.note()
+	if now.Sub(s.progress) < eventProbe {
+		// Events still come, whatever is believed of a part; the attempt is judged again when they stop.
+		s.probeWait = eventProbe
+		return nil
+	}
 	_, _, ok := s.Planner.Plan(now, s.avoid, "")
 	if !ok || !s.mayRepeat() || s.opens >= maxOpens || s.counted() >= max(s.MaxServers, 1) || !s.MayRetry() {
 		s.probeWait = now.Sub(s.progress) + planWait
@@ -107,6 +113,7 @@
 		s.probeWait = max(s.probeWait, firstProbe)
 		return nil
 	}
+	s.Path = s.before
 	return s.resume(now, "move failed")
 }
 
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -72,7 +72,9 @@
 		Path    teaselstream.Path
 		Attempt teaselstream.Attempt
 
-		avoid map[teaselstream.ServerID]bool
+		// before is the path that a move in progress leaves, and that stays if the move fails.
+		before teaselstream.Path
+		avoid  map[teaselstream.ServerID]bool
 		// opens counts sends, runs those that may have run, and repaths the moves of this attempt.
 		opens, runs, repaths int
 		// ranOn holds the first servers of the attempts that may have run.
