--- a/flow/retry.go
+++ b/flow/retry.go
@@ -17,6 +17,11 @@
 	}
 	cmds := []teaselstream.Cmd{Abort{s.Attempt, "refused as not run"}}
 	if s.opens >= maxOpens {
+		if s.callerWaits(now) {
+			s.owed = true
+			s.reopen = now.Add(laterWait)
+			return cmds
+		}
 		return append(cmds, s.fail(teaselstream.CodeOverloaded, "servers refused the request", retryAfterFull)...)
 	}
 	if !s.MayRetry() {
@@ -49,10 +54,15 @@
 	return s.open(now, reason)
 }
 
+// callerWaits reports whether the caller of a running stream still waits for the next event.
+func (s *Stream) callerWaits(now time.Time) bool {
+	return s.delivered && now.Sub(s.eventAt) < patience
+}
+
 // waitForBudget keeps a running stream while its caller still waits for the next event: the loss of one server ends many
 // streams at once, and the budget for sending them again fills within a second or two.
 func (s *Stream) waitForBudget(now time.Time) bool {
-	if !s.delivered || now.Sub(s.progress) >= patience {
+	if !s.callerWaits(now) {
 		return false
 	}
 	s.owed = true
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -21,8 +21,10 @@
 	patience = 1600 * time.Millisecond
 	// planWait spaces the looks for a path in that time.
 	planWait = 100 * time.Millisecond
-	// maxOpens bounds the times a request is sent, refused ones included.
+	// maxOpens bounds the times a request is sent, refused ones included; a running stream goes on while its caller waits.
 	maxOpens = 5
+	// laterWait spaces the sends of a running stream beyond that.
+	laterWait = 250 * time.Millisecond
 	// maxRepaths bounds the moves of one attempt.
 	maxRepaths = 4
 	// refusalWait is the wait after the second refusal as not run, which doubles with each further one.
@@ -85,7 +87,9 @@
 		delivered  bool
 		step       time.Duration
 		// progress is the time of the last sign of life, probeWait the silence before the next probe.
-		progress  time.Time
+		progress time.Time
+		// eventAt is when the last event was delivered.
+		eventAt   time.Time
 		probeWait time.Duration
 		probing   bool
 		moving    bool
@@ -148,7 +152,7 @@
 		}
 		path, step, ok = s.Planner.Plan(now, s.avoid, "")
 	}
-	if !ok && s.delivered && now.Sub(s.progress) < patience {
+	if !ok && s.callerWaits(now) {
 		// The caller still waits for the next event, and a lost range may be held again in time.
 		s.reopen = now.Add(planWait)
 		return nil
@@ -230,7 +234,7 @@
 	if m.ID != 0 {
 		s.last = m.ID
 	}
-	s.delivered = true
+	s.delivered, s.eventAt = true, now
 	s.probeWait = eventProbe
 	return []teaselstream.Cmd{Deliver{s.Attempt, m.Data}}
 }
