cover: keep a survey's wants apart from given orders; one server makes room for a gap

Cause: the orders that a survey wants were kept in the decider even if this VM may not give them yet. The next survey then counted them as given, so a second VM in rank met a need only after the order timeout of 12 s.

Tests: cover/testdata/rank, cover/testdata/repair; both failed before.

--- a/cover/cover.go
+++ b/cover/cover.go
@@ -56,6 +56,8 @@
 
 	order struct {
 		target teaselstream.LayerRange
+		// next is the range that the server is ordered to hold once this order has made room for it.
+		next teaselstream.LayerRange
 		at     time.Time
 		// until keeps the server free of orders after a failure.
 		until time.Time
@@ -195,7 +197,7 @@
 	var cmds []teaselstream.Cmd
 	for _, h := range wants {
 		h.Waited, h.Rank = now.Sub(since), rank
-		d.orders[h.Server] = &order{target: h.Range, at: now}
+		d.orders[h.Server] = n.orders[h.Server]
 		cmds = append(cmds, h)
 	}
 	return cmds
--- a/cover/repair.go
+++ b/cover/repair.go
@@ -146,6 +146,9 @@
 		return Hold{}, false
 	}
 	s.give(m, r)
+	// The layers count as held from now on, or each further server that could take them would make room too.
+	s.orders[m.ID].next = want
+	s.count(s.held, want, 1)
 	h := hold(m, r, "make room for lost layers")
 	h.Cut = true
 	return h, true
--- a/cover/survey.go
+++ b/cover/survey.go
@@ -1,6 +1,7 @@
 package cover
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -12,7 +13,9 @@
 	// survey is one domain's state at one moment.
 	survey struct {
 		decider *Decider
-		now     time.Time
+		// orders are the decider's, with those that this survey wants.
+		orders map[teaselstream.ServerID]*order
+		now    time.Time
 		engine  *teaselstream.EngineSpec
 		domain  teaselstream.DomainID
 		// live are the servers that answer and stay, and doubtful those that have only just fallen silent.
@@ -32,7 +35,7 @@
 )
 
 func (d *Decider) survey(now time.Time, e *teaselstream.EngineSpec, members []*fleet.Member, domain teaselstream.DomainID) *survey {
-	s := &survey{decider: d, now: now, engine: e, domain: domain, held: make([]int, e.Layers), ready: make([]int, e.Layers)}
+	s := &survey{decider: d, orders: maps.Clone(d.orders), now: now, engine: e, domain: domain, held: make([]int, e.Layers), ready: make([]int, e.Layers)}
 	for _, m := range members {
 		if m.Domain != domain || e.Kinds[m.Accelerator].Memory == 0 {
 			continue
@@ -52,6 +55,9 @@
 	for _, m := range s.live {
 		s.count(s.ready, m.Holds, 1)
 		s.count(s.held, s.future(m), 1)
+		if o := d.orders[m.ID]; o != nil && o.until.IsZero() {
+			s.count(s.held, o.next, 1)
+		}
 	}
 	s.budget = budgetOf(e, s.live)
 	for id := range d.empty {
@@ -64,7 +70,7 @@
 
 // future returns the range that a server holds once its pending order is done.
 func (s *survey) future(m *fleet.Member) teaselstream.LayerRange {
-	if o := s.decider.orders[m.ID]; o != nil && o.until.IsZero() {
+	if o := s.orders[m.ID]; o != nil && o.until.IsZero() {
 		return o.target
 	}
 	return m.Holds
@@ -78,7 +84,7 @@
 
 // free reports whether a server has no order in progress.
 func (s *survey) free(m *fleet.Member) bool {
-	_, ok := s.decider.orders[m.ID]
+	_, ok := s.orders[m.ID]
 	return !ok
 }
 
@@ -124,6 +130,7 @@
 	var out []Hold
 	for _, m := range s.live {
 		if r, ok := ranges[m.ID]; ok && s.free(m) {
+			s.give(m, r)
 			out = append(out, hold(m, r, "first layout"))
 		}
 	}
@@ -136,7 +143,7 @@
 
 func (s *survey) give(m *fleet.Member, r teaselstream.LayerRange) {
 	s.count(s.held, s.future(m), -1)
-	s.decider.orders[m.ID] = &order{target: r, at: s.now}
+	s.orders[m.ID] = &order{target: r, at: s.now}
 	s.count(s.held, r, 1)
 	s.tokens, s.meanTokens = nil, 0
 }
