flow: try another path when a move is refused, before the request is sent again

Cause: a move that a part of the new path refuses (409, no room) ended the running attempt and sent the request again, which costs a retry of the shared budget and reads all tokens anew; the waves of a release used the budget up, and running streams were cut. The answer names the part if it is not there, which was not decoded.

Tests: flow/testdata/stream/loss, the last two scripts; both failed before. The older script of a failed move now says that its outcome is unknown, which is the case in which the request is still sent again at once.

--- a/flow/loss.go
+++ b/flow/loss.go
@@ -1,6 +1,9 @@
 package flow
 
 import (
+	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/teaselstream/teaselstream"
@@ -70,7 +73,7 @@
 	if !hit {
 		return nil
 	}
-	path, step, ok := s.Planner.Plan(now, s.avoid, s.Path[0].Server)
+	path, step, ok := s.Planner.Plan(now, s.unfit(now), s.Path[0].Server)
 	if ok && path[0] != s.Path[0] {
 		// The running request keeps its first part, whose end must not move.
 		ok = false
@@ -113,8 +116,42 @@
 		s.probeWait = max(s.probeWait, firstProbe)
 		return nil
 	}
+	refused := s.Path
 	s.Path = s.before
-	return s.resume(now, "move failed")
+	if !errors.Is(m.Err, teaselstream.ErrConflict) {
+		return s.resume(now, "move failed")
+	}
+	// The first server still works on the request, so another path is tried before the request is sent again.
+	if fault := s.Planner.Resolve(m.Fault); fault != "" {
+		s.full[fault] = now
+	} else {
+		s.fill(now, refused)
+	}
+	return s.leave(now, "move refused")
+}
+
+// fill takes the servers that a refused move would have added for full.
+func (s *Stream) fill(now time.Time, path teaselstream.Path) {
+	current := s.Path.Servers()
+	for _, p := range path {
+		if !slices.Contains(current, p.Server) {
+			s.full[p.Server] = now
+		}
+	}
+}
+
+// unfit returns the servers that a move must leave out: those to avoid, and those that have just refused one.
+func (s *Stream) unfit(now time.Time) map[teaselstream.ServerID]bool {
+	if len(s.full) == 0 {
+		return s.avoid
+	}
+	out := maps.Clone(s.avoid)
+	for id, at := range s.full {
+		if now.Sub(at) < fullTime {
+			out[id] = true
+		}
+	}
+	return out
 }
 
 // Vacate tells the stream that a server on its path will end soon.
--- a/flow/message.go
+++ b/flow/message.go
@@ -48,6 +48,8 @@
 	Repathed struct {
 		Attempt teaselstream.Attempt
 		Err     error
+		// Fault is the address of the part that did not take the request, or empty if that is not known.
+		Fault string
 	}
 
 	// Lost names servers that are known not to answer.
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -25,8 +25,10 @@
 	maxOpens = 5
 	// laterWait spaces the sends of a running stream beyond that.
 	laterWait = 250 * time.Millisecond
-	// maxRepaths bounds the moves of one attempt.
-	maxRepaths = 4
+	// maxRepaths bounds the moves of one attempt, refused ones included; a path has few other holders of a part.
+	maxRepaths = 6
+	// fullTime is how long a server that refused a move is left out of further ones; requests end every some ten milliseconds.
+	fullTime = 300 * time.Millisecond
 	// refusalWait is the wait after the second refusal as not run, which doubles with each further one.
 	refusalWait = 40 * time.Millisecond
 	// retryAfterFull tells a caller when to come back after refusals for lack of room; a usual stream lasts about this long.
@@ -77,6 +79,8 @@
 		// before is the path that a move in progress leaves, and that stays if the move fails.
 		before teaselstream.Path
 		avoid  map[teaselstream.ServerID]bool
+		// full holds when a server refused a move for lack of room.
+		full map[teaselstream.ServerID]time.Time
 		// opens counts sends, runs those that may have run, and repaths the moves of this attempt.
 		opens, runs, repaths int
 		// ranOn holds the first servers of the attempts that may have run.
@@ -110,6 +114,7 @@
 	switch m := m.(type) {
 	case Start:
 		s.avoid = make(map[teaselstream.ServerID]bool)
+		s.full = make(map[teaselstream.ServerID]time.Time)
 		s.last = s.LastEvent
 		return s.open(now, "first")
 	case Opened:
--- a/flow/stream_test.go
+++ b/flow/stream_test.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -153,7 +152,14 @@
 	case "moved":
 		return s.stream.Update(now, Repathed{Attempt: attemptOf(f[2])})
 	case "notmoved":
-		return s.stream.Update(now, Repathed{Attempt: attemptOf(f[2]), Err: errors.New("refused")})
+		m := Repathed{Attempt: attemptOf(f[2]), Err: teaselstream.ErrConflict}
+		switch {
+		case len(f) > 3 && f[3] == "unknown":
+			m.Err = teaselstream.ErrOutcomeUnknown
+		case len(f) > 3:
+			m.Fault = f[3]
+		}
+		return s.stream.Update(now, m)
 	case "lost":
 		return s.stream.Update(now, Lost{[]teaselstream.ServerID{teaselstream.ServerID(f[2])}})
 	case "down":
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -127,5 +127,13 @@
 	defer cancel()
 	err := s.handler.Replicas.Repath(ctx, s.head.Attempt, c.Path)
 	s.log("RequestMoved", slog.LevelInfo, "attempt", c.Attempt, "reason", c.Reason, "error", errorText(err))
-	s.tell(context.Background(), flow.Repathed{Attempt: c.Attempt, Err: err})
+	moved := flow.Repathed{Attempt: c.Attempt, Err: err}
+	var refused *teaselstream.RefusedPart
+	if errors.As(err, &refused) {
+		moved.Fault = refused.Address
+		if m := s.handler.View().ByAddress(refused.Address); m != nil {
+			s.handler.Post(fleet.Refused{Server: m.ID, By: c.Path[0].Server})
+		}
+	}
+	s.tell(context.Background(), moved)
 }
--- a/replica.go
+++ b/replica.go
@@ -84,10 +84,14 @@
 	ReplicaControl interface {
 		Report(ctx context.Context, id ServerID, address string) (ReplicaReport, error)
 		Hold(ctx context.Context, o RangeOrder) error
-		// Repath moves a running request to another path with the same first part.
+		// Repath moves a running request to another path with the same first part. If a part of the path does not take it
+		// and the replica names that part, the error is a *RefusedPart.
 		Repath(ctx context.Context, a AttemptID, p Path) error
 	}
 
+	// RefusedPart is the error of a move that one part of the new path does not take; it wraps ErrConflict.
+	RefusedPart struct{ Address string }
+
 	// CallHead is what the router needs to know of a caller's request.
 	CallHead struct {
 		Attempt AttemptID
@@ -143,6 +147,12 @@
 	}
 )
 
+// Error names the part.
+func (e *RefusedPart) Error() string { return "part " + e.Address + " does not take the request" }
+
+// Unwrap returns ErrConflict.
+func (e *RefusedPart) Unwrap() error { return ErrConflict }
+
 // WaitsFor returns the address of the part that a request waits for, or an empty one.
 func (r *ReplicaReport) WaitsFor(a AttemptID) string {
 	for _, s := range r.Stalled {
