admit, chain: a reserve of the retry budget for running streams; full parts are left to others

New requests, each sent up to five times, used up the retry budget, and running streams that lost a server were cut. Paths went on to parts that had just refused, since another domain or a leaving server cost more. Calls to plain services drew on the same budget, although the platform bounds each service by itself.

New requests now leave half of what is saved up; the budget is counted per service; a part that has just refused, or whose stated memory does not take the prompt, costs more than any other.

--- a/admit/window.go
+++ b/admit/window.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// reserveShare is the part of what is saved up that is kept for requests whose answer has begun. While servers refuse work
+// for lack of room, new requests would use all of it up, and running streams that lose a server could not go on.
+const reserveShare = 0.5
+
 // WindowBudget bounds this VM's part of the attempts beyond the first that all VMs share in a sliding window: an
 // allowance, and a ratio of the requests in the window.
 //
@@ -60,14 +64,23 @@
 }
 
 // Retry reports whether one more attempt is allowed at a time, and counts it if so.
-func (b *WindowBudget) Retry(now time.Time) bool {
+func (b *WindowBudget) Retry(now time.Time) bool { return b.spend(now, 0) }
+
+// RetryNew does the same for a request that has no part of its answer yet, and leaves a reserve for those that have.
+func (b *WindowBudget) RetryNew(now time.Time) bool { return b.spend(now, reserveShare) }
+
+// spend takes a token if a share of the limit is left after it.
+func (b *WindowBudget) spend(now time.Time, reserve float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(now)
 	// The margin covers rounding errors of repeated additions.
-	if b.tokens < 1-1e-9 {
+	if b.tokens < 1-1e-9 || b.tokens < 1+reserve*b.limit()-1e-9 && !b.small() {
 		return false
 	}
 	b.tokens--
 	return true
 }
+
+// small reports whether the limit is too low for a reserve of one attempt.
+func (b *WindowBudget) small() bool { return reserveShare*b.limit() < 1 }
--- a/admit/window_test.go
+++ b/admit/window_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/teaselstream/teaselstream"
 )
 
 // Guards against more retries in some window than the stated bound, whatever the order of requests and retries, and
@@ -98,3 +100,65 @@
 		t.Errorf("%d retries at once after 20 s of 5 requests a second, want 5 or more", retries)
 	}
 }
+
+// Guards against new requests that use up the whole budget while all holders of some layers refuse work: running streams
+// that then lost a server were cut, the pattern of a release of six servers beside full parts.
+func TestRunningStreamsKeepAReserve(t *testing.T) {
+	var b WindowBudget
+	b.Set(0.2, 24, 10*time.Second)
+	now := time.Unix(1000, 0)
+	for range 300 {
+		now = now.Add(40 * time.Millisecond)
+		b.Request(now)
+	}
+	const refused, running = 40, 10
+	for range refused {
+		b.RetryNew(now)
+	}
+	for i := range running {
+		if !b.Retry(now) {
+			t.Fatalf("%d of %d running streams could be sent again after %d refusals of new requests", i, running, refused)
+		}
+	}
+}
+
+// Guards against a budget so small that its reserve would forbid every retry of a new request.
+func TestSmallBudgetServesNewRequests(t *testing.T) {
+	var b WindowBudget
+	b.Set(0.2, 2, 10*time.Second)
+	now := time.Unix(1000, 0)
+	b.Request(now)
+	if !b.RetryNew(now.Add(10 * time.Second)) {
+		t.Error("no retry of a new request is allowed after a whole window")
+	}
+}
+
+// Guards against retries to one service that use up those of another.
+func TestBudgetsOfServices(t *testing.T) {
+	var b Budgets
+	b.Set(0.2, 4, 10*time.Second)
+	now := time.Unix(1000, 0)
+	for _, s := range []teaselstream.ServiceID{"a", "b"} {
+		b.Request(now, s)
+	}
+	now = now.Add(10 * time.Second)
+	for b.Of("a").Retry(now) { //nolint:revive // Uses the budget up.
+	}
+	if !b.Of("b").Retry(now) {
+		t.Error("retries to one service used up those of the other")
+	}
+}
+
+// Guards against a service whose first retries are refused although the VM has served for a while: its budget refills
+// from the first request to any service.
+func TestBudgetOfSecondService(t *testing.T) {
+	var b Budgets
+	b.Set(0.2, 4, 10*time.Second)
+	now := time.Unix(1000, 0)
+	b.Request(now, "a")
+	now = now.Add(8 * time.Second)
+	b.Request(now, "b")
+	if !b.Of("b").Retry(now) {
+		t.Error("no retry is allowed 8 s after the first request to any service")
+	}
+}
--- a/chain/chain.go
+++ b/chain/chain.go
@@ -15,10 +15,11 @@
 	awayCost = 800 * time.Millisecond
 	// leavingCost keeps work away from servers that leave, unless nothing else covers a layer.
 	leavingCost = 20 * time.Second
-	// pausedCost keeps work away from servers that have just refused some.
-	pausedCost = 2 * time.Second
 	// fullCost is added for a part whose memory the running requests would exceed.
 	fullCost = 4 * time.Second
+	// refusalCost is added for a part that has just refused work, or whose memory does not take the request. Its refusal
+	// would cost a retry, so that it exceeds the cost of a server that leaves and of another failure domain.
+	refusalCost = 30 * time.Second
 	// loadWeight scales how much a part in use costs more than an idle one.
 	loadWeight = 8.0
 	// headWeight scales how much the load of a path's first part adds, in usual times of a whole request.
@@ -179,15 +180,26 @@
 	if load > 1 {
 		total += time.Duration(float64(fullCost) * load)
 	}
+	if s.refuses(m) || s.now.Before(m.PausedUntil) {
+		total += refusalCost
+	}
 	if m.State == fleet.Leaving {
 		total += leavingCost
 	}
-	if s.now.Before(m.PausedUntil) {
-		total += pausedCost
-	}
 	return total
 }
 
+// refuses reports whether a part's memory, by its last statement and what this VM has sent since, does not take the prompt.
+func (s *search) refuses(m *fleet.Member) bool {
+	share, ok := m.Use.Cache(s.now)
+	if !ok {
+		return false
+	}
+	tokens := s.ask.PromptTokens + max(m.Use.Since(), 0)*s.engine.UsualPrompt
+	capacity := s.engine.CacheTokens(m.Accelerator, m.Holds.Len())
+	return share*float64(capacity)+float64(tokens) > float64(capacity)
+}
+
 // pressure grows steeply with load: a part that is half in use costs little more than an idle one, so that paths stay
 // in their failure domain, and one that is nearly full is left to others.
 func pressure(load float64) float64 { return load * load * load * load }
--- a/cmd/gate/serve.go
+++ b/cmd/gate/serve.go
@@ -52,7 +52,7 @@
 	log      *slog.Logger
 	store    *platform.Store
 	shared   *share.Directory
-	budget   admit.WindowBudget
+	budgets  admit.Budgets
 	control  *control
 	handler  *proxy.Handler
 	server   *proxy.Server
@@ -108,7 +108,7 @@
 	p.control = newControl(settings, p.log)
 	p.handler = &proxy.Handler{
 		View: p.control.current, Dialect: platform.Dialect{}, Replicas: &platform.Replicas{}, Planner: planner,
-		Balancer: &pick.Balancer{Rand: random}, Budget: &p.budget, Rand: random, Meter: p.meter, Log: p.log, Post: p.control.post,
+		Balancer: &pick.Balancer{Rand: random}, Budgets: &p.budgets, Rand: random, Meter: p.meter, Log: p.log, Post: p.control.post,
 	}
 	p.control.handler = p.handler
 	p.control.published = p.shareBudget
@@ -137,7 +137,7 @@
 // shareBudget gives this VM its part of the retries that all VMs share.
 func (p *process) shareBudget(v *fleet.View) {
 	b := p.settings.Load().Bounds
-	p.budget.Set(budgetShare*b.RetryRatio, budgetShare*b.RetrySlack/float64(max(len(v.Peers), leastVMs)), b.RetryWindow)
+	p.budgets.Set(budgetShare*b.RetryRatio, budgetShare*b.RetrySlack/float64(max(len(v.Peers), leastVMs)), b.RetryWindow)
 }
 
 func (p *process) follower() *watch.Follower {
--- a/cover/cover.go
+++ b/cover/cover.go
@@ -58,7 +58,7 @@
 		target teaselstream.LayerRange
 		// next is the range that the server is ordered to hold once this order has made room for it.
 		next teaselstream.LayerRange
-		at     time.Time
+		at   time.Time
 		// until keeps the server free of orders after a failure.
 		until time.Time
 	}
--- a/cover/survey.go
+++ b/cover/survey.go
@@ -16,8 +16,8 @@
 		// orders are the decider's, with those that this survey wants.
 		orders map[teaselstream.ServerID]*order
 		now    time.Time
-		engine  *teaselstream.EngineSpec
-		domain  teaselstream.DomainID
+		engine *teaselstream.EngineSpec
+		domain teaselstream.DomainID
 		// live are the servers that answer and stay, and doubtful those that have only just fallen silent.
 		live     []*fleet.Member
 		doubtful []*fleet.Member
--- a/fleet/use.go
+++ b/fleet/use.go
@@ -71,6 +71,13 @@
 	return each * time.Duration(waiting) / time.Duration(s.running)
 }
 
+// Since returns how many requests of this VM the server has got, less those that have ended, since its last statement.
+func (u *Use) Since() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return int(u.Requests.Load() - u.stated.own)
+}
+
 // Cache returns the share of memory that the server last stated; ok is false if there is no recent statement.
 func (u *Use) Cache(now time.Time) (share float64, ok bool) {
 	u.mu.Lock()
--- a/flow/loss.go
+++ b/flow/loss.go
@@ -14,7 +14,7 @@
 		if now.Before(s.reopen) {
 			return nil
 		}
-		if s.owed && !s.MayRetry() {
+		if s.owed && !s.mayRetry() {
 			if s.waitForBudget(now) {
 				return nil
 			}
@@ -98,7 +98,7 @@
 		return nil
 	}
 	_, _, ok := s.Planner.Plan(now, s.avoid, "")
-	if !ok || !s.mayRepeat() || s.opens >= maxOpens || s.counted() >= max(s.MaxServers, 1) || !s.MayRetry() {
+	if !ok || !s.mayRepeat() || s.opens >= maxOpens || s.counted() >= max(s.MaxServers, 1) || !s.mayRetry() {
 		s.probeWait = now.Sub(s.progress) + planWait
 		return nil
 	}
--- a/flow/retry.go
+++ b/flow/retry.go
@@ -24,7 +24,7 @@
 		}
 		return append(cmds, s.fail(teaselstream.CodeOverloaded, "servers refused the request", retryAfterFull)...)
 	}
-	if !s.MayRetry() {
+	if !s.mayRetry() {
 		if s.waitForBudget(now) {
 			return cmds
 		}
@@ -45,7 +45,7 @@
 	if s.opens >= maxOpens || s.counted() >= max(s.MaxServers, 1) {
 		return s.fail(teaselstream.CodeServerLost, reason, retryAfterFull)
 	}
-	if s.runs > 0 && !s.MayRetry() {
+	if s.runs > 0 && !s.mayRetry() {
 		if s.waitForBudget(now) {
 			return nil
 		}
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -58,8 +58,8 @@
 	// Options describes the request.
 	Options struct {
 		Planner Planner
-		// MayRetry draws on the retry budget.
-		MayRetry func() bool
+		// MayRetry draws on the retry budget; begun says that the caller has a part of the answer.
+		MayRetry func(begun bool) bool
 		// Resumable says that the stream may go on at another server.
 		Resumable bool
 		// MaxServers bounds the servers on which the request may run.
@@ -201,7 +201,7 @@
 		if s.delivered {
 			return s.again(now, "failure status")
 		}
-		if s.mayRepeat() && s.counted() < max(s.MaxServers, 1) && s.opens < maxOpens && s.MayRetry() {
+		if s.mayRepeat() && s.counted() < max(s.MaxServers, 1) && s.opens < maxOpens && s.mayRetry() {
 			s.avoid[s.Path[0].Server] = true
 			return append([]teaselstream.Cmd{Abort{s.Attempt, "failure status"}}, s.open(now, "failure status")...)
 		}
@@ -222,6 +222,8 @@
 	}
 }
 
+func (s *Stream) mayRetry() bool { return s.MayRetry(s.delivered || s.LastEvent > 0) }
+
 func (s *Stream) mayRepeat() bool { return s.Resumable }
 
 func (s *Stream) onEvent(now time.Time, m Event) []teaselstream.Cmd {
--- a/flow/stream_test.go
+++ b/flow/stream_test.go
@@ -57,6 +57,8 @@
 	planner *scriptPlanner
 	stream  *Stream
 	retries int
+	// reserve is kept for requests that have begun.
+	reserve int
 	start   time.Time
 }
 
@@ -83,7 +85,10 @@
 		if d.HasArg("resumed") {
 			s.stream.LastEvent = 3
 		}
-		s.retries = 100
+		s.retries, s.reserve = 100, 0
+		if d.HasArg("reserve") {
+			d.ScanArgs(t, "reserve", &s.reserve)
+		}
 		if d.HasArg("retries") {
 			d.ScanArgs(t, "retries", &s.retries)
 		}
@@ -105,7 +110,10 @@
 	return ""
 }
 
-func (s *streamScript) mayRetry() bool {
+func (s *streamScript) mayRetry(begun bool) bool {
+	if !begun && s.retries <= s.reserve {
+		return false
+	}
 	s.retries--
 	return s.retries >= 0
 }
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -28,7 +28,7 @@
 		Replicas teaselstream.ReplicaControl
 		Planner  *chain.Planner
 		Balancer *pick.Balancer
-		Budget   *admit.WindowBudget
+		Budgets  *admit.Budgets
 		Rand     teaselstream.Rand
 		Meter    *meter.Meter
 		Log      *slog.Logger
@@ -68,7 +68,7 @@
 		r.refuse(status, refusal)
 		return
 	}
-	h.Budget.Request(time.Now())
+	h.Budgets.Request(time.Now(), r.pool.Service)
 	if r.pool.Engine != nil {
 		r.stream()
 		return
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -76,7 +76,7 @@
 		Planner: &streamPlanner{r, chain.Ask{
 			Service: r.pool.Service, PromptTokens: r.head.PromptTokens, AnswerTokens: answerTokens,
 		}},
-		MayRetry:  func() bool { return h.Budget.Retry(time.Now()) },
+		MayRetry:  r.mayRetry,
 		Resumable: r.route.Resumable || r.route.Idempotent, MaxServers: max(r.route.MaxServers, 1), LastEvent: r.head.LastEvent,
 		Objective: r.route.Objective,
 	}
@@ -89,6 +89,15 @@
 	}
 }
 
+// mayRetry draws on the retry budget of the service.
+func (r *request) mayRetry(begun bool) bool {
+	b := r.handler.Budgets.Of(r.pool.Service)
+	if begun {
+		return b.Retry(time.Now())
+	}
+	return b.RetryNew(time.Now())
+}
+
 func (r *request) answerTokens() int {
 	expected := r.head.ExpectedTokens
 	if expected == 0 {
