fleet, share, watch: count the drain time from the age of the notice

Cause: a VM that asks a reader learns of a notice up to a second late, and counted the drain time from then. On the list of a VM that has just started the drain time is taken for over.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -75,11 +75,11 @@
 	case RoutingRead:
 		cmds = c.readRouting(m)
 	case Listed:
-		cmds = c.list(now, m.Replicas)
+		cmds = c.list(now, m)
 	case Changed:
-		cmds = c.change(now, m.Replica)
+		cmds = c.change(now, m.Replica, m.Age)
 	case Removed:
-		cmds = c.remove(now, m.Server)
+		cmds = c.remove(now, m.Server, m.Age)
 	case PeersListed:
 		if !slices.Equal(c.peers, m.Peers) {
 			c.peers, c.dirty = m.Peers, true
@@ -131,26 +131,26 @@
 	return []teaselstream.Cmd{Note{Event: "RoutingAdopted"}}
 }
 
-func (c *Core) list(now time.Time, replicas []teaselstream.Replica) []teaselstream.Cmd {
+func (c *Core) list(now time.Time, m Listed) []teaselstream.Cmd {
 	var cmds []teaselstream.Cmd
-	seen := make(map[teaselstream.ServerID]bool, len(replicas))
-	for _, r := range replicas {
+	seen := make(map[teaselstream.ServerID]bool, len(m.Replicas))
+	for _, r := range m.Replicas {
 		seen[r.ID] = true
-		cmds = append(cmds, c.change(now, r)...)
+		cmds = append(cmds, c.change(now, r, m.Age)...)
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.members)) {
 		if !seen[id] {
-			cmds = append(cmds, c.remove(now, id)...)
+			cmds = append(cmds, c.remove(now, id, m.Age)...)
 		}
 	}
 	return cmds
 }
 
-func (c *Core) change(now time.Time, x teaselstream.Replica) []teaselstream.Cmd {
+func (c *Core) change(now time.Time, x teaselstream.Replica, age time.Duration) []teaselstream.Cmd {
 	r := c.members[x.ID]
 	if r == nil {
 		c.members[x.ID] = &record{Member: Member{Replica: x, Slowdown: 1, Use: &Use{}}, listedHolds: x.Holds}
-		c.members[x.ID].mark(now, x.Draining)
+		c.members[x.ID].mark(now, x.Draining, age)
 		c.dirty = true
 		return []teaselstream.Cmd{Note{Event: "ServerListed", Server: x.ID}}
 	}
@@ -176,7 +176,7 @@
 		r.Holds, r.Orders = holds, orders
 	}
 	r.lapsedAt, r.leftAt = time.Time{}, time.Time{}
-	if cmd, ok := r.mark(now, x.Draining); ok {
+	if cmd, ok := r.mark(now, x.Draining, age); ok {
 		cmds = append(cmds, cmd)
 	}
 	if !same(before, r.Member) {
@@ -186,14 +186,14 @@
 }
 
 // mark takes over whether the list says that the replica drains; Down is left to probes.
-func (r *record) mark(now time.Time, draining bool) (teaselstream.Cmd, bool) {
+func (r *record) mark(now time.Time, draining bool, age time.Duration) (teaselstream.Cmd, bool) {
 	switch {
 	case draining && r.LeavingSince.IsZero():
-		r.LeavingSince = now
+		r.LeavingSince = now.Add(-age)
 		if r.State != Down {
 			r.State = Leaving
 		}
-		return Note{Event: "ServerLeaving", Server: r.ID, Reason: "draining"}, true
+		return Note{Event: "ServerLeaving", Server: r.ID, Reason: "draining", Age: age}, true
 	case !draining && !r.LeavingSince.IsZero():
 		r.LeavingSince = time.Time{}
 		if r.State == Leaving {
@@ -210,7 +210,7 @@
 		a.Slots == b.Slots && a.Slowdown == b.Slowdown && a.Accelerator == b.Accelerator && a.PausedUntil.Equal(b.PausedUntil)
 }
 
-func (c *Core) remove(now time.Time, id teaselstream.ServerID) []teaselstream.Cmd {
+func (c *Core) remove(now time.Time, id teaselstream.ServerID, age time.Duration) []teaselstream.Cmd {
 	r := c.members[id]
 	if r == nil || !r.leftAt.IsZero() || !r.lapsedAt.IsZero() {
 		return nil
@@ -219,20 +219,20 @@
 		r.lapsedAt = now
 		return []teaselstream.Cmd{Note{Event: "ServerLapsed", Server: id, Age: now.Sub(c.storeSince)}}
 	}
-	return c.left(now, r, "removed from the list")
+	return c.left(now, r, age, "removed from the list")
 }
 
 // left takes a removal as the start of a silent drain, since some replicas never report draining.
-func (c *Core) left(now time.Time, r *record, reason string) []teaselstream.Cmd {
+func (c *Core) left(now time.Time, r *record, age time.Duration, reason string) []teaselstream.Cmd {
 	r.leftAt, r.lapsedAt = now, time.Time{}
 	if r.LeavingSince.IsZero() {
-		r.LeavingSince = now
+		r.LeavingSince = now.Add(-age)
 	}
 	if r.State != Down {
 		r.State = Leaving
 	}
 	c.dirty = true
-	return []teaselstream.Cmd{Note{Event: "ServerLeft", Server: r.ID, Reason: reason}}
+	return []teaselstream.Cmd{Note{Event: "ServerLeft", Server: r.ID, Reason: reason, Age: age}}
 }
 
 func (c *Core) report(now time.Time, m Reported) []teaselstream.Cmd {
@@ -322,7 +322,7 @@
 		r := c.members[id]
 		switch {
 		case !r.lapsedAt.IsZero() && !c.storeLost && now.Sub(c.storeSince) >= restoreWindow && now.Sub(r.lapsedAt) >= restoreWindow:
-			cmds = append(cmds, c.left(now, r, "not restored after the store's return")...)
+			cmds = append(cmds, c.left(now, r, now.Sub(r.lapsedAt), "not restored after the store's return")...)
 		case !r.leftAt.IsZero() && now.Sub(r.leftAt) >= forgetAfter:
 			delete(c.members, id)
 			c.dirty = true
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -61,7 +61,11 @@
 	var out strings.Builder
 	for _, id := range slices.Sorted(maps.Keys(s.view.Members)) {
 		m := s.view.Members[id]
-		fmt.Fprintf(&out, "%s %s holds %s incarnation %d\n", id, m.State, m.Holds, m.Incarnation)
+		fmt.Fprintf(&out, "%s %s holds %s incarnation %d", id, m.State, m.Holds, m.Incarnation)
+		if !m.LeavingSince.IsZero() {
+			fmt.Fprintf(&out, " leaves since %s", m.LeavingSince.Sub(s.start))
+		}
+		fmt.Fprintln(&out)
 	}
 	for link, until := range s.view.Cut {
 		fmt.Fprintf(&out, "no way from %s to %s until %s\n", link.From, link.To, until.Sub(s.start))
@@ -72,7 +76,7 @@
 	return out.String()
 }
 
-// message reads "listed NAME...", "changed NAME [from-to] [born=N] [draining]", "removed NAME", "reported NAME from-to
+// message reads "listed NAME...", "changed NAME [from-to] [born=N] [draining] [age=D]", "removed NAME [age=D]", "reported NAME from-to
 // [born=N]", "silent NAME [born=N]", "refused NAME [misplaced]", "lost", "regained", "routing N" or "tick".
 func message(t *testing.T, f []string) teaselstream.Msg {
 	var id teaselstream.ServerID
@@ -88,9 +92,9 @@
 		}
 		return l
 	case "changed":
-		return Changed{r}
+		return Changed{r, ageOf(t, f)}
 	case "removed":
-		return Removed{id}
+		return Removed{id, ageOf(t, f)}
 	case "reported":
 		return Reported{Server: id, Report: teaselstream.ReplicaReport{Incarnation: r.Incarnation, Holds: r.Holds, Pace: 1}}
 	case "silent":
@@ -118,6 +122,20 @@
 	return nil
 }
 
+// ageOf reads "age=DURATION".
+func ageOf(t *testing.T, f []string) time.Duration {
+	for _, word := range f {
+		if text, ok := strings.CutPrefix(word, "age="); ok {
+			d, err := time.ParseDuration(text)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return d
+		}
+	}
+	return 0
+}
+
 func replicaOf(id teaselstream.ServerID, f []string) teaselstream.Replica {
 	r := teaselstream.Replica{ID: id, Service: "model", Address: string(id), Domain: "zone", Incarnation: 1}
 	for _, word := range f {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -11,13 +11,25 @@
 	RoutingRead struct{ Routing *teaselstream.Routing }
 
 	// Listed brings the whole list of replicas.
-	Listed struct{ Replicas []teaselstream.Replica }
+	Listed struct {
+		Replicas []teaselstream.Replica
+		// Age is how long ago the list may have changed at most.
+		Age time.Duration
+	}
 
 	// Changed brings one replica's new entry.
-	Changed struct{ Replica teaselstream.Replica }
+	Changed struct {
+		Replica teaselstream.Replica
+		// Age is how long ago the entry may have changed at most.
+		Age time.Duration
+	}
 
 	// Removed says that the list has no entry of a replica any more.
-	Removed struct{ Server teaselstream.ServerID }
+	Removed struct {
+		Server teaselstream.ServerID
+		// Age is how long ago the entry may have been removed at most.
+		Age time.Duration
+	}
 
 	// PeersListed brings all VMs that are registered.
 	PeersListed struct{ Peers []Peer }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -14,7 +14,7 @@
 	Member struct {
 		teaselstream.Replica
 		State State
-		// LeavingSince is when this VM learned that the server leaves.
+		// LeavingSince is the earliest time at which the server may have begun to leave, by what this VM has read.
 		LeavingSince time.Time
 		// PausedUntil keeps new work away after a refusal that will pass.
 		PausedUntil time.Time
--- a/share/directory.go
+++ b/share/directory.go
@@ -30,6 +30,9 @@
 	// staleTime is how long after its last answer from the store a reader serves others: over its longest time between
 	// two answers, and below the platform's bound for a new configuration of 2 s.
 	staleTime = 1400 * time.Millisecond
+	// slowAnswer is the longest time that the store takes for an answer that does not wait for a change; the platform states
+	// 4 ms, which a slow store takes 50 times.
+	slowAnswer = 250 * time.Millisecond
 )
 
 type (
@@ -42,8 +45,11 @@
 		Log   *slog.Logger
 
 		changes Log
-		conn    hconn.Client
-		reader  atomic.Bool
+		// answered is when the last answer came, of the store or a reader. Only Follow uses it, which is not called at the
+		// same time by many goroutines.
+		answered time.Time
+		conn     hconn.Client
+		reader   atomic.Bool
 	}
 
 	// relayed is an answer of a reader.
@@ -70,18 +76,38 @@
 		x, err := d.ask(ctx, p, prefix, after)
 		if err == nil {
 			d.changes.Add(time.Now().Add(-x.Age), after, x.At, x.Entries)
+			d.answered = time.Now().Add(-x.Age)
 			return x.Entries, x.At, nil
 		}
 		d.Log.Info("ReaderFailed", "reader", string(p.Name), "error", err.Error(), "revision", uint64(after))
 	}
+	began := time.Now()
 	entries, at, err := d.Directory.Follow(ctx, prefix, after, wait)
 	if err != nil {
 		return nil, 0, fmt.Errorf("follow store: %w", err)
 	}
-	d.changes.Add(time.Now(), after, at, entries)
+	now := time.Now()
+	d.date(entries, began, now)
+	d.changes.Add(now, after, at, entries)
 	return entries, at, nil
 }
 
+// date sets the ages of changes that the store has returned. They were made after its last answer; if the call waited,
+// they were made at its end.
+func (d *Directory) date(entries []teaselstream.Entry, began, now time.Time) {
+	var age time.Duration
+	switch {
+	case now.Sub(began) > slowAnswer:
+		age = slowAnswer
+	case !d.answered.IsZero():
+		age = now.Sub(d.answered)
+	}
+	for i := range entries {
+		entries[i].Age = age
+	}
+	d.answered = now
+}
+
 // sources returns the readers to ask, or none if this VM reads the store itself; shares says whether the domain has readers.
 func (d *Directory) sources() (from []fleet.Peer, shares bool) {
 	near := make(map[teaselstream.VMID]fleet.Peer)
--- a/share/log.go
+++ b/share/log.go
@@ -11,10 +11,16 @@
 // keptEntries bounds the changes that a VM keeps for others; it holds some seconds of heartbeats of a large fleet.
 const keptEntries = 4096
 
+// logged is a change and the earliest time at which it may have been made.
+type logged struct {
+	teaselstream.Entry
+	since time.Time
+}
+
 // Log keeps the recent changes that a VM has read, in the order of their revisions; its zero value is empty.
 type Log struct {
 	mu      sync.Mutex
-	entries []teaselstream.Entry
+	entries []logged
 	// from and to bound the revisions that the log covers: all changes after from up to to.
 	from, to teaselstream.Revision
 	// read is when the store, or a reader that has reached it, last answered.
@@ -31,10 +37,12 @@
 		l.entries, l.from = nil, after
 	}
 	l.to = at
-	l.entries = append(l.entries, entries...)
+	for _, e := range entries {
+		l.entries = append(l.entries, logged{e, now.Add(-e.Age)})
+	}
 	if over := len(l.entries) - keptEntries; over > 0 {
 		l.from = l.entries[over-1].Revision
-		l.entries = append([]teaselstream.Entry(nil), l.entries[over:]...)
+		l.entries = append([]logged(nil), l.entries[over:]...)
 	}
 	if l.changed != nil {
 		close(l.changed)
@@ -44,7 +52,7 @@
 
 // Since returns the changes below a prefix after a revision, and the revision to continue from; ok is false if the log
 // does not reach back that far. A caller that has read the store itself may be ahead of the log, which then has nothing new.
-func (l *Log) Since(prefix string, after teaselstream.Revision) (entries []teaselstream.Entry, at teaselstream.Revision, ok bool) {
+func (l *Log) Since(now time.Time, prefix string, after teaselstream.Revision) (entries []teaselstream.Entry, at teaselstream.Revision, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if after < l.from || l.to == 0 {
@@ -52,7 +60,9 @@
 	}
 	for _, e := range l.entries {
 		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
-			entries = append(entries, e)
+			x := e.Entry
+			x.Age = now.Sub(e.since)
+			entries = append(entries, x)
 		}
 	}
 	return entries, max(l.to, after), true
--- a/share/server.go
+++ b/share/server.go
@@ -54,7 +54,7 @@
 			return relayed{}, fasthttp.StatusServiceUnavailable
 		}
 		changed := d.changes.Wait()
-		entries, at, ok := d.changes.Since(prefix, after)
+		entries, at, ok := d.changes.Since(time.Now(), prefix, after)
 		if !ok {
 			return relayed{}, fasthttp.StatusGone
 		}
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -18,7 +18,7 @@
 func TestLog(t *testing.T) {
 	var l Log
 	now := time.Unix(1000, 0)
-	if _, _, ok := l.Since("", 0); ok {
+	if _, _, ok := l.Since(now, "", 0); ok {
 		t.Error("an empty log covers revision 0")
 	}
 	l.Add(now, 5, 7, []teaselstream.Entry{{Key: "a/1", Revision: 6}, {Key: "b/1", Revision: 7}})
@@ -32,7 +32,7 @@
 	}{
 		{"", 5, "[a/1 b/1 a/2]", 9, true}, {"a/", 6, "[a/2]", 9, true}, {"", 9, "[]", 9, true}, {"", 12, "[]", 12, true}, {"", 4, "[]", 0, false},
 	} {
-		entries, at, ok := l.Since(x.prefix, x.after)
+		entries, at, ok := l.Since(now, x.prefix, x.after)
 		var keys []string
 		for _, e := range entries {
 			keys = append(keys, e.Key)
@@ -42,7 +42,7 @@
 		}
 	}
 	l.Add(now, 20, 21, []teaselstream.Entry{{Key: "a/3", Revision: 21}})
-	if _, _, ok := l.Since("", 9); ok {
+	if _, _, ok := l.Since(now, "", 9); ok {
 		t.Error("the log covers a gap between two answers")
 	}
 }
@@ -166,3 +166,28 @@
 		t.Errorf("answer() = status %d after %s; want 503 once the store's answer is too old", status, time.Since(began))
 	}
 }
+
+// Guards against a VM that counts a server's drain time from when a reader told it, up to a second after the notice: a
+// request then reached the server 3,040 ms after it, over the platform's bound of 3 s.
+func TestAgeOfChanges(t *testing.T) {
+	store := &fakeStore{at: 3}
+	d := &Directory{Directory: store, Self: fleet.Peer{Name: "vm0"}, Peers: func() []fleet.Peer { return nil }, Log: slog.New(slog.DiscardHandler)}
+	if _, _, err := d.Follow(context.Background(), "", 3, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	const gap = 60 * time.Millisecond
+	time.Sleep(gap)
+	store.at = 4
+	entries, _, err := d.Follow(context.Background(), "", 3, time.Second)
+	if err != nil || len(entries) != 1 {
+		t.Fatalf("Follow() = %d entries, %v, want 1", len(entries), err)
+	}
+	if entries[0].Age < gap {
+		t.Errorf("age %s of a change made in the last %s, want at least that", entries[0].Age, gap)
+	}
+	time.Sleep(gap)
+	relayed, _ := d.answer("", 3)
+	if len(relayed.Entries) != 1 || relayed.Entries[0].Age < 2*gap {
+		t.Errorf("a reader passes on %v, want one change with an age of at least %s", relayed.Entries, 2*gap)
+	}
+}
--- a/store.go
+++ b/store.go
@@ -33,6 +33,8 @@
 		Revision Revision
 		// Deleted marks the removal of the key; Value is then empty.
 		Deleted bool
+		// Age is how long ago the change may have been made at most, when the entry is read; 0 means that it is not known.
+		Age time.Duration
 	}
 
 	// Directory is a store whose keys can be listed and followed by prefix.
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -20,6 +20,9 @@
 	// firstBackoff and lastBackoff bound the wait after a failed call.
 	firstBackoff = 150 * time.Millisecond
 	lastBackoff  = 800 * time.Millisecond
+	// unknownAge stands for the age of what a VM reads first: it cannot know since when a server drains, and takes the
+	// drain time for over.
+	unknownAge = time.Minute
 )
 
 type (
@@ -35,10 +38,12 @@
 		Rand          teaselstream.Rand
 		Log           *slog.Logger
 
-		at    teaselstream.Revision
-		peers map[string]fleet.Peer
-		lost  bool
-		since time.Time
+		at teaselstream.Revision
+		// answered is when the last answer came.
+		answered time.Time
+		peers    map[string]fleet.Peer
+		lost     bool
+		since    time.Time
 	}
 )
 
@@ -53,7 +58,7 @@
 		wait := followGap - time.Since(began)
 		switch {
 		case err == nil:
-			listed, failures = true, 0
+			listed, failures, f.answered = true, 0, time.Now()
 			f.regained()
 		case errors.Is(err, teaselstream.ErrCompacted):
 			f.Log.Warn("StoreHistoryLost", "revision", uint64(f.at))
@@ -118,7 +123,10 @@
 	for _, e := range routing {
 		f.take(e)
 	}
-	listed := fleet.Listed{}
+	listed := fleet.Listed{Age: unknownAge}
+	if !f.answered.IsZero() {
+		listed.Age = time.Since(f.answered)
+	}
 	for _, e := range replicas {
 		if r, ok := f.replica(e); ok {
 			listed.Replicas = append(listed.Replicas, r)
@@ -140,9 +148,9 @@
 		f.routing(e)
 	case strings.HasPrefix(e.Key, f.ReplicaPrefix):
 		if e.Deleted {
-			f.Post(fleet.Removed{Server: teaselstream.ServerID(strings.TrimPrefix(e.Key, f.ReplicaPrefix))})
+			f.Post(fleet.Removed{Server: teaselstream.ServerID(strings.TrimPrefix(e.Key, f.ReplicaPrefix)), Age: e.Age})
 		} else if r, ok := f.replica(e); ok {
-			f.Post(fleet.Changed{Replica: r})
+			f.Post(fleet.Changed{Replica: r, Age: e.Age})
 		}
 	case strings.HasPrefix(e.Key, vmPrefix):
 		return f.vm(e)
