cover: cheaper looks, and none by VMs that may not give orders

Cause: since a survey's wants are kept apart from given orders, every VM computed the needs of every domain ten times a second while a need lasted, at 5 ms a look with 32 servers.

Test: TestLooksOfWaitingVMs.

--- a/cover/cover.go
+++ b/cover/cover.go
@@ -11,6 +11,8 @@
 const (
 	// rankDelay is how long a need must last before the next VM in rank meets it; an order and its load take up to 2 s to show in the list.
 	rankDelay = 2500 * time.Millisecond
+	// backupLook spaces the looks of VMs that rank behind the first; one costs a tenth of a millisecond with 32 servers.
+	backupLook = 500 * time.Millisecond
 	// settleTime is the wait after the start, in which the VMs of a domain appear.
 	settleTime = 1200 * time.Millisecond
 	// growTime is how long a domain's list must not have grown before its first layout; servers register with their heartbeats.
@@ -42,8 +44,11 @@
 		orders  map[teaselstream.ServerID]*order
 		// needs holds since when each domain needs what.
 		needs map[string]time.Time
-		empty map[teaselstream.ServerID]time.Time
-		grown map[teaselstream.DomainID]growth
+		// looked holds when this VM last looked at each domain's needs, and surveys counts its looks.
+		looked  map[string]time.Time
+		surveys int
+		empty   map[teaselstream.ServerID]time.Time
+		grown   map[teaselstream.DomainID]growth
 		// alone holds since when no VM of a domain is registered.
 		alone map[teaselstream.DomainID]time.Time
 	}
@@ -95,6 +100,7 @@
 		d.empty = make(map[teaselstream.ServerID]time.Time)
 		d.grown = make(map[teaselstream.DomainID]growth)
 		d.alone = make(map[teaselstream.DomainID]time.Time)
+		d.looked = make(map[string]time.Time)
 		d.started = now
 	}
 	switch m := m.(type) {
@@ -178,9 +184,18 @@
 }
 
 func (d *Decider) domain(now time.Time, v *fleet.View, pool *teaselstream.Pool, domain teaselstream.DomainID) []teaselstream.Cmd {
+	key := string(pool.Service) + "/" + string(domain)
+	rank := d.rank(now, v, domain)
+	if rank < 0 {
+		delete(d.needs, key)
+		return nil
+	}
+	if rank > 0 && now.Sub(d.looked[key]) < backupLook {
+		return nil
+	}
+	d.looked[key] = now
 	n := d.survey(now, pool.Engine, v.Pools[pool.Service], domain)
 	wants := n.wants()
-	key := string(pool.Service) + "/" + string(domain)
 	if len(wants) == 0 {
 		delete(d.needs, key)
 		return nil
@@ -190,8 +205,7 @@
 		since = now
 		d.needs[key] = now
 	}
-	rank := d.rank(now, v, domain)
-	if rank < 0 || now.Sub(since) < time.Duration(rank)*rankDelay {
+	if now.Sub(since) < time.Duration(rank)*rankDelay {
 		return nil
 	}
 	var cmds []teaselstream.Cmd
--- a/cover/cover_test.go
+++ b/cover/cover_test.go
@@ -175,3 +175,24 @@
 		}
 	}
 }
+
+// Guards against the work of VMs that do not give orders: with 72 VMs that each looked at all domains ten times a second
+// while a need lasted, a day of a grown fleet took more processor time than the platform grants.
+func TestLooksOfWaitingVMs(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		peers  string
+		domain teaselstream.DomainID
+		most   int
+	}{{"first", "vm1", "zone", 100}, {"second", "vm5 vm1", "zone", 20}, {"of another domain", "vm5", "other", 0}} {
+		s := largeDomain(4)
+		s.decider.Domain = x.domain
+		for _, name := range strings.Fields(x.peers) {
+			s.view.Peers = append(s.view.Peers, fleet.Peer{Name: teaselstream.VMID(name), Domain: "zone"})
+		}
+		s.wait(t, "10s")
+		if s.decider.surveys > x.most {
+			t.Errorf("the VM %s looked %d times in 10 s, want at most %d", x.name, s.decider.surveys, x.most)
+		}
+	}
+}
--- a/cover/survey.go
+++ b/cover/survey.go
@@ -35,6 +35,7 @@
 )
 
 func (d *Decider) survey(now time.Time, e *teaselstream.EngineSpec, members []*fleet.Member, domain teaselstream.DomainID) *survey {
+	d.surveys++
 	s := &survey{decider: d, orders: maps.Clone(d.orders), now: now, engine: e, domain: domain, held: make([]int, e.Layers), ready: make([]int, e.Layers)}
 	for _, m := range members {
 		if m.Domain != domain || e.Kinds[m.Accelerator].Memory == 0 {
--- a/cover/window.go
+++ b/cover/window.go
@@ -60,12 +60,14 @@
 func (s *survey) window(m *fleet.Member) teaselstream.LayerRange {
 	usual := s.usualLayers(m)
 	most := s.engine.MaxLayers(m.Accelerator, minTokens) - m.Holds.Len()
+	sums := s.gains(m)
+	begins, ends := s.edges()
 	var best teaselstream.LayerRange
 	bestScore := 0.0
 	for n := max(usual-1, 1); n <= min(usual+extraLayers, most); n++ {
 		for from := teaselstream.Layer(0); from+teaselstream.Layer(n) <= s.engine.Layers; from++ {
 			r := teaselstream.LayerRange{From: from, To: from + teaselstream.Layer(n)}
-			score := s.gain(m, r) - float64(max(n-usual, 0))*overPenalty
+			score := sums[r.To] - sums[r.From] + alignGain*float64(ends[r.From]+begins[r.To]) - float64(max(n-usual, 0))*overPenalty
 			if score > bestScore {
 				best, bestScore = r, score
 			}
@@ -74,28 +76,37 @@
 	return best
 }
 
-func (s *survey) gain(m *fleet.Member, r teaselstream.LayerRange) float64 {
-	total := 0.0
-	for l := r.From; l < r.To; l++ {
-		switch n := s.held[l]; {
-		case n == 0:
-			total += holeGain
-		case n < s.budget.copies:
-			total += shortGain / float64(n)
-		default:
-			total += spareGain*s.tightness(l)*(1+s.exposure(l)) + speedGain*s.speedup(m, l)
-		}
+// gains returns what a server gains the domain with all layers below each boundary, so that a window's gain is a difference.
+func (s *survey) gains(m *fleet.Member) []float64 {
+	sums := make([]float64, s.engine.Layers+1)
+	for l := range s.engine.Layers {
+		sums[l+1] = sums[l] + s.gain(m, l)
+	}
+	return sums
+}
+
+// gain returns what a server gains the domain with one layer.
+func (s *survey) gain(m *fleet.Member, l teaselstream.Layer) float64 {
+	switch n := s.held[l]; {
+	case n == 0:
+		return holeGain
+	case n < s.budget.copies:
+		return shortGain / float64(n)
+	default:
+		return spareGain*s.tightness(l)*(1+s.exposure(l)) + speedGain*s.speedup(m, l)
 	}
+}
+
+// edges counts the servers whose range begins and ends at each boundary.
+func (s *survey) edges() (begins, ends []int) {
+	begins, ends = make([]int, s.engine.Layers+1), make([]int, s.engine.Layers+1)
 	for _, x := range s.live {
-		f := s.future(x)
-		if f.Empty() {
-			continue
-		}
-		if f.To == r.From || f.From == r.To {
-			total += alignGain
+		if f := s.future(x); !f.Empty() && f.From >= 0 && f.To <= s.engine.Layers {
+			begins[f.From]++
+			ends[f.To]++
 		}
 	}
-	return total
+	return begins, ends
 }
 
 // speedup returns how much less time a layer would take, as a share of the slowest kind's time.
