--- a/chain/chain.go
+++ b/chain/chain.go
@@ -114,6 +114,32 @@
 	return out
 }
 
+// Uncovered returns the ranges of layers that no usable server holds, for the log of a request without a path. None of
+// them means that the servers of different failure domains do not reach each other.
+func (p *Planner) Uncovered(now time.Time, v *fleet.View, a Ask) []teaselstream.LayerRange {
+	if v == nil || v.Routing == nil || v.Routing.Pools[a.Service] == nil || v.Routing.Pools[a.Service].Engine == nil {
+		return nil
+	}
+	s := &search{planner: p, now: now, view: v, engine: v.Routing.Pools[a.Service].Engine, ask: a}
+	held := make([]bool, s.engine.Layers)
+	for _, m := range s.usable() {
+		for l := max(m.Holds.From, 0); l < m.Holds.To; l++ {
+			held[l] = true
+		}
+	}
+	var out []teaselstream.LayerRange
+	for l := teaselstream.Layer(0); l < s.engine.Layers; l++ {
+		switch {
+		case held[l]:
+		case len(out) > 0 && out[len(out)-1].To == l:
+			out[len(out)-1].To++
+		default:
+			out = append(out, teaselstream.LayerRange{From: l, To: l + 1})
+		}
+	}
+	return out
+}
+
 func (s *search) index(members []*fleet.Member) {
 	s.boundaries = []teaselstream.Layer{0, s.engine.Layers}
 	s.domains = []teaselstream.DomainID{""}
--- a/chain/chain_test.go
+++ b/chain/chain_test.go
@@ -119,7 +119,7 @@
 	}
 	path, _, ok := (&Planner{DrainTime: 2 * time.Second}).Plan(testStart, v, ask)
 	if !ok {
-		return "no path"
+		return fmt.Sprintf("no path, uncovered %v", (&Planner{DrainTime: 2 * time.Second}).Uncovered(testStart, v, ask))
 	}
 	if !path.Covers(40) {
 		t.Errorf("path %v does not cover all layers", path)
