flow, cover: find servers that have ended by a connection; repair their layers at once

And a part that had certainly ended stayed doubtful for 1.5 s before its layers were taken over.

After 110 ms without an event the other servers of the path are connected to, which many streams share; one that refuses has ended, and cover takes its layers over at once. A request without a path logs the layers that no server holds.

Tests: scripts in flow, cover and fleet; the one in cover failed before.

--- a/cover/cover.go
+++ b/cover/cover.go
@@ -63,6 +63,8 @@
 		target teaselstream.LayerRange
 		// next is the range that the server is ordered to hold once this order has made room for it.
 		next teaselstream.LayerRange
+		// rank is this VM's rank when it gave the order.
+		rank int
 		at   time.Time
 		// until keeps the server free of orders after a failure.
 		until time.Time
@@ -117,7 +119,12 @@
 		delete(d.orders, m.Server)
 		return
 	}
-	d.orders[m.Server] = &order{until: now.Add(retryDelay)}
+	wait := retryDelay
+	if o := d.orders[m.Server]; o != nil && o.rank > 0 {
+		// The server's state differs from the list mostly because a VM that ranks before this one acts.
+		wait = rankDelay
+	}
+	d.orders[m.Server] = &order{until: now.Add(wait)}
 }
 
 func (d *Decider) decide(now time.Time, v *fleet.View) []teaselstream.Cmd {
@@ -212,6 +219,7 @@
 	for _, h := range wants {
 		h.Waited, h.Rank = now.Sub(since), rank
 		d.orders[h.Server] = n.orders[h.Server]
+		d.orders[h.Server].rank = rank
 		cmds = append(cmds, h)
 	}
 	return cmds
--- a/cover/cover_test.go
+++ b/cover/cover_test.go
@@ -103,13 +103,15 @@
 	return r
 }
 
-// change applies "down NAME", "up NAME", "leaving NAME", "gone NAME", "done NAME", "failed NAME" or "new NAME KIND [FROM-TO]".
+// change applies "down NAME", "ended NAME", "up NAME", "leaving NAME", "gone NAME", "done NAME", "failed NAME" or "new NAME KIND [FROM-TO]".
 func (s *coverScript) change(t *testing.T, f []string) {
 	id := teaselstream.ServerID(f[1])
 	m := s.view.Members[id]
 	switch f[0] {
 	case "down":
 		m.State, m.DownSince = fleet.Down, s.now
+	case "ended":
+		m.State, m.DownSince, m.Ended = fleet.Down, s.now, true
 	case "up":
 		m.State = fleet.Serving
 	case "leaving":
--- a/cover/survey.go
+++ b/cover/survey.go
@@ -18,7 +18,7 @@
 		now    time.Time
 		engine *teaselstream.EngineSpec
 		domain teaselstream.DomainID
-		// live are the servers that answer and stay, and doubtful those that have only just fallen silent.
+		// live are the servers that answer and stay, and doubtful those that have only just fallen silent but may still run.
 		live     []*fleet.Member
 		doubtful []*fleet.Member
 		leaving  []*fleet.Member
@@ -44,7 +44,7 @@
 		switch m.State {
 		case fleet.Down:
 			s.down++
-			if now.Sub(m.DownSince) < doubtTime && m.LeavingSince.IsZero() {
+			if now.Sub(m.DownSince) < doubtTime && m.LeavingSince.IsZero() && !m.Ended {
 				s.doubtful = append(s.doubtful, m)
 			}
 		case fleet.Leaving:
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -254,7 +254,7 @@
 	}
 	var cmds []teaselstream.Cmd
 	if r.State == Down {
-		r.State, r.DownSince = Serving, time.Time{}
+		r.State, r.DownSince, r.Ended = Serving, time.Time{}, false
 		if !r.LeavingSince.IsZero() {
 			r.State = Leaving
 		}
@@ -270,6 +270,8 @@
 		return nil
 	}
 	r.probeAt = now.Add(probePeriod)
+	c.dirty = c.dirty || m.Ended && !r.Ended
+	r.Ended = r.Ended || m.Ended
 	if r.State == Down {
 		return nil
 	}
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -65,6 +65,9 @@
 		if !m.LeavingSince.IsZero() {
 			fmt.Fprintf(&out, " leaves since %s", m.LeavingSince.Sub(s.start))
 		}
+		if m.Ended {
+			fmt.Fprint(&out, " ended")
+		}
 		fmt.Fprintln(&out)
 	}
 	for link, until := range s.view.Cut {
@@ -77,7 +80,7 @@
 }
 
 // message reads "listed NAME...", "changed NAME [from-to] [born=N] [draining] [age=D]", "removed NAME [age=D]", "reported NAME from-to
-// [born=N]", "silent NAME [born=N]", "refused NAME [misplaced]", "lost", "regained", "routing N" or "tick".
+// [born=N]", "silent NAME [born=N] [ended]", "refused NAME [misplaced]", "lost", "regained", "routing N" or "tick".
 func message(t *testing.T, f []string) teaselstream.Msg {
 	var id teaselstream.ServerID
 	if len(f) > 1 {
@@ -98,7 +101,7 @@
 	case "reported":
 		return Reported{Server: id, Report: teaselstream.ReplicaReport{Incarnation: r.Incarnation, Holds: r.Holds, Pace: 1}}
 	case "silent":
-		return Silent{Server: id, Incarnation: r.Incarnation}
+		return Silent{Server: id, Incarnation: r.Incarnation, Ended: slices.Contains(f, "ended")}
 	case "refused":
 		by := teaselstream.ServerID("")
 		if len(f) > 2 && f[2] != "misplaced" {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -50,6 +50,8 @@
 	Silent struct {
 		Server      teaselstream.ServerID
 		Incarnation teaselstream.Incarnation
+		// Ended says that its address refuses connections, so that its process does not run.
+		Ended bool
 		// Reason says what was seen, for the log.
 		Reason string
 	}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -22,8 +22,9 @@
 		Slowdown float64
 		// Pending is the range that an order of this VM is loading.
 		Pending teaselstream.LayerRange
-		// DownSince is when the server stopped answering.
+		// DownSince is when the server stopped answering, and Ended whether its address refuses connections since then.
 		DownSince time.Time
+		Ended     bool
 		Use       *Use
 	}
 
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -193,6 +193,8 @@
 			s.cancel()
 			s.hold(nil)
 			s.log("AttemptAborted", slog.LevelInfo, "attempt", c.Attempt, "reason", c.Reason)
+		case flow.CheckParts:
+			go s.check(c)
 		case flow.Probe:
 			go s.probe(c)
 		case flow.Repath:
@@ -290,6 +292,9 @@
 func (s *streamRun) finish(c flow.Finish) {
 	switch {
 	case c.Refusal != nil:
+		if c.Refusal.Code == teaselstream.CodeNoRoute {
+			s.logUncovered()
+		}
 		s.refuse(statusOf(c.Refusal), c.Refusal)
 	case c.Complete:
 		if err := s.End(); err != nil {
@@ -307,6 +312,21 @@
 	}
 }
 
+// logUncovered says which layers no server holds for a request without a path, and which links count as cut.
+func (s *streamRun) logUncovered() {
+	now, v := time.Now(), s.handler.View()
+	var uncovered, cut []string
+	for _, r := range s.handler.Planner.Uncovered(now, v, chain.Ask{Service: s.pool.Service}) {
+		uncovered = append(uncovered, r.String())
+	}
+	for link, until := range v.Cut {
+		if now.Before(until) {
+			cut = append(cut, string(link.From)+" to "+string(link.To))
+		}
+	}
+	s.log("PathNotFound", slog.LevelInfo, "uncovered", uncovered, "cut", cut, "viewAgeMs", now.Sub(v.At).Milliseconds(), "storeLost", v.StoreLost)
+}
+
 func (s *streamRun) finished(code teaselstream.Code, o teaselstream.Outcome) {
 	s.ended(code, o)
 	s.log("RequestEnded", slog.LevelInfo, "code", string(code), "firstMs", s.first.Milliseconds(), "events", s.events,
