--- a/cmd/tsctl/main.go
+++ b/cmd/tsctl/main.go
@@ -53,6 +53,7 @@
 		{"status", "Show what is in trial and in production", "Reads the slots from the store and the state of the given VMs.", &statusCommand{app: a}},
 		{"trial", "Show what the document in trial would change", "Sums up how VMs would decide sampled requests under the document in trial and under production's.", &trialCommand{app: a}},
 		{"history", "Show promoted generations", "Lists the promoted generations of an environment, the newest first.", &historyCommand{app: a}},
+		{"explain", "Tell why a request ended as it did", "Reads the logs of VMs and prints what they say of a request, what its VM believed, and the cause.", &explainCommand{app: a}},
 		{"completion", "Print the completion script for bash", "Use it with: source <(tsctl completion)", &completionCommand{app: a}},
 	} {
 		if _, err := p.AddCommand(c.name, c.short, c.long, c.data); err != nil {
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/teaselstream/teaselstream"
@@ -107,6 +109,8 @@
 			return true
 		case flow.CallRefuse:
 			if x.Refusal != nil {
+				c.log("CallUnanswered", slog.LevelInfo, "servers", slices.Sorted(maps.Keys(c.tried)), "sends", c.sends,
+					"viewAgeMs", time.Since(c.handler.View().At).Milliseconds())
 				c.refuse(statusOf(x.Refusal), x.Refusal)
 				return true
 			}
