--- a/blame/finger.go
+++ b/blame/finger.go
@@ -17,8 +17,9 @@
 func FingerprintOf(m teaselstream.ModelID, prompt string, parameters ...string) Fingerprint {
 	h := sha256.New()
 	for _, s := range append([]string{string(m), prompt}, parameters...) {
-		_ = binary.Write(h, binary.BigEndian, uint64(len(s)))
-		_, _ = h.Write([]byte(s))
+		// Writes to a hash do not fail.
+		h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(s))))
+		h.Write([]byte(s))
 	}
 	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:16]))
 }
--- a/cmd/bench/process_engine.go
+++ b/cmd/bench/process_engine.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/sock"
 )
 
 // fastEngine is a stand-in engine that spends as little as possible on each token.
@@ -46,7 +47,7 @@
 		e.mu.Unlock()
 		go func() {
 			e.serve(c)
-			_ = c.Close()
+			sock.Discard(c)
 			e.mu.Lock()
 			delete(e.conns, c)
 			e.mu.Unlock()
--- a/cmd/bench/procs/forward.go
+++ b/cmd/bench/procs/forward.go
@@ -7,6 +7,8 @@
 	"net"
 	"slices"
 	"sync"
+
+	"github.com/teaselstream/teaselstream/sock"
 )
 
 type (
@@ -104,9 +106,7 @@
 	d, err := net.Dial("tcp", target)
 	if err != nil {
 		// A refused connection must look like one to the caller: a reset, not an orderly end.
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0)
-		}
+		sock.Abort(c)
 		return
 	}
 	if !n.keep(d) {
@@ -129,21 +129,20 @@
 		}
 		if k > 0 {
 			if _, err := w.Write(buf[:k]); err != nil {
-				_ = r.Close()
+				sock.Discard(r)
 				return
 			}
 		}
 		switch {
 		case errors.Is(err, io.EOF):
 			if t, ok := w.(*net.TCPConn); ok {
-				_ = t.CloseWrite()
+				if err := t.CloseWrite(); err != nil {
+					sock.Discard(w)
+				}
 			}
 			return
 		case err != nil:
-			if t, ok := w.(*net.TCPConn); ok {
-				_ = t.SetLinger(0)
-			}
-			_ = w.Close()
+			sock.Abort(w)
 			return
 		}
 	}
@@ -154,7 +153,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.closed {
-		_ = c.Close()
+		sock.Discard(c)
 		return false
 	}
 	n.conns[c] = true
@@ -164,7 +163,7 @@
 func (n *network) drop(c net.Conn) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	_ = c.Close()
+	sock.Discard(c)
 	delete(n.conns, c)
 }
 
@@ -172,10 +171,10 @@
 	n.change(func() {
 		n.closed = true
 		for _, l := range n.listeners {
-			_ = l.Close()
+			sock.Discard(l)
 		}
 		for c := range n.conns {
-			_ = c.Close()
+			sock.Discard(c)
 		}
 	})
 }
--- a/cmd/bench/procs/program.go
+++ b/cmd/bench/procs/program.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -10,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/teaselstream/teaselstream/sock"
 )
 
 type (
@@ -63,7 +66,9 @@
 // Remove deletes the built programs.
 func (p Programs) Remove() {
 	if p.Directory != "" {
-		_ = os.RemoveAll(p.Directory)
+		if err := os.RemoveAll(p.Directory); err != nil {
+			slog.Warn("DirectoryNotRemoved", "directory", p.Directory, "error", err)
+		}
 	}
 }
 
@@ -78,9 +83,12 @@
 		return nil, fmt.Errorf("start %s: %w", name, err)
 	}
 	go func() {
-		_ = x.command.Wait()
+		if err := x.command.Wait(); err != nil {
+			// A process that a script ends by a signal has no exit code.
+			slog.Debug("ProcessEnded", "name", x.name, "error", err)
+		}
 		x.code = x.command.ProcessState.ExitCode()
-		_ = x.log.Close()
+		sock.Discard(x.log)
 		close(x.ended)
 	}()
 	return x, nil
@@ -91,7 +99,10 @@
 	var out bytes.Buffer
 	c := exec.Command(filepath.Join(p.Directory, program), args...)
 	c.Stdout, c.Stderr = &out, &out
-	_ = c.Run()
+	if err := c.Run(); err != nil {
+		// The caller judges the exit code.
+		slog.Debug("ProgramFailed", "program", program, "error", err)
+	}
 	return c.ProcessState.ExitCode(), out.String()
 }
 
--- a/cmd/entry/serve.go
+++ b/cmd/entry/serve.go
@@ -236,8 +236,10 @@
 
 func setLog(l config.Log) {
 	var level slog.Level
-	// The settings accept only names that UnmarshalText knows.
-	_ = level.UnmarshalText([]byte(l.Level))
+	if err := level.UnmarshalText([]byte(l.Level)); err != nil {
+		// The settings accept only names that UnmarshalText knows.
+		slog.Warn("log level is unknown; info is used", "level", l.Level, "error", err)
+	}
 	o := &slog.HandlerOptions{Level: level}
 	if l.Format == "json" {
 		slog.SetDefault(slog.New(slog.NewJSONHandler(os.Stderr, o)))
--- a/cmd/faults/caller.go
+++ b/cmd/faults/caller.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/teaselstream/teaselstream/sock"
 )
 
 const (
@@ -119,7 +121,7 @@
 		c.count("stream without an answer")
 		return false
 	}
-	defer closeQuietly(p.Body)
+	defer sock.Discard(p.Body)
 	if p.StatusCode != http.StatusOK {
 		c.count(fmt.Sprintf("stream %d", p.StatusCode))
 		c.deny(id, p.StatusCode)
@@ -187,7 +189,7 @@
 		c.count("call without an answer")
 		return 0, ""
 	}
-	defer closeQuietly(p.Body)
+	defer sock.Discard(p.Body)
 	body, err := io.ReadAll(p.Body)
 	if err != nil {
 		c.count("call cut")
--- a/cmd/faults/faults_test.go
+++ b/cmd/faults/faults_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/teaselstream/teaselstream/sock"
 )
 
 const (
@@ -27,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer closeQuietly(f)
+	defer sock.Discard(f)
 	for s := bufio.NewScanner(f); s.Scan(); {
 		text, _, _ := strings.Cut(s.Text(), "#")
 		var seed uint64
--- a/cmd/faults/link.go
+++ b/cmd/faults/link.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/teaselstream/teaselstream/sock"
 )
 
 // mode is what a link does to its connections.
@@ -78,24 +80,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for c := range k.conns {
-		abort(c)
-	}
-}
-
-// abort closes a connection with a reset; errors only say that it is closed already.
-func abort(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
-		if err := t.SetLinger(0); err != nil {
-			return
-		}
-	}
-	closeQuietly(c)
-}
-
-// closeQuietly closes what is given up; its error says nothing more.
-func closeQuietly(c io.Closer) {
-	if err := c.Close(); err != nil {
-		return
+		sock.Abort(c)
 	}
 }
 
@@ -103,7 +88,7 @@
 	k.mu.Lock()
 	k.closed = true
 	k.mu.Unlock()
-	closeQuietly(k.listener)
+	sock.Discard(k.listener)
 	k.reset()
 }
 
@@ -111,7 +96,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.closed {
-		abort(c)
+		sock.Abort(c)
 		return false
 	}
 	k.conns[c] = true
@@ -122,7 +107,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	delete(k.conns, c)
-	closeQuietly(c)
+	sock.Discard(c)
 }
 
 func (k *link) carry(c net.Conn) {
@@ -132,7 +117,7 @@
 	defer k.drop(c)
 	d, err := net.Dial("tcp", k.target)
 	if err != nil {
-		abort(c)
+		sock.Abort(c)
 		return
 	}
 	if !k.keep(d) {
@@ -176,7 +161,7 @@
 		}
 		if n > 0 {
 			if _, err := w.Write(buf[:n]); err != nil {
-				abort(r)
+				sock.Abort(r)
 				return
 			}
 		}
@@ -186,7 +171,7 @@
 			}
 		}
 		if err != nil {
-			abort(w)
+			sock.Abort(w)
 			return
 		}
 	}
--- a/cmd/faults/vm.go
+++ b/cmd/faults/vm.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/teaselstream/teaselstream/sock"
 )
 
 // endTime bounds the end of a VM after a signal; its grace time is 8 s.
@@ -78,7 +80,7 @@
 		if err := c.Wait(); err != nil {
 			fmt.Fprintln(log, "process ended:", err)
 		}
-		closeQuietly(log)
+		sock.Discard(log)
 		v.mu.Lock()
 		if !v.expected {
 			v.unasked++
--- a/cmd/faults/world.go
+++ b/cmd/faults/world.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/teaselstream/teaselstream/cmd/stand/plat"
+	"github.com/teaselstream/teaselstream/sock"
 )
 
 const (
@@ -211,7 +212,7 @@
 				w.callers.violate("%s: %v", v.name, err)
 				continue
 			}
-			closeQuietly(p.Body)
+			sock.Discard(p.Body)
 			if taken := p.StatusCode != http.StatusUnauthorized; w.version > 1 && taken != want {
 				w.callers.violate("%s: key %s of version %d taken: %t", v.name, key, w.version, taken)
 			}
--- a/cmd/tsctl/app.go
+++ b/cmd/tsctl/app.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"os"
 	"slices"
 
@@ -61,7 +62,9 @@
 		f = &failure{Code: codeInternal, Kind: "Internal", Message: err.Error()}
 	}
 	if a.options.Output == "json" {
-		_ = printJSON(w, struct{ Error *failure }{f})
+		if err := printJSON(w, struct{ Error *failure }{f}); err != nil {
+			slog.Error("the error could not be printed", "error", err, "message", f.Message)
+		}
 		return f.Code
 	}
 	_, _ = fmt.Fprintln(w, "tsctl:", f.Message)
--- a/front/stream.go
+++ b/front/stream.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/teaselstream/teaselstream/sock"
 )
 
 // maxRendered bounds what is rendered before it is written, when many tokens have arrived at once.
@@ -26,7 +28,7 @@
 func (s *Server) stream(c *fasthttp.RequestCtx, a *answer) {
 	first, ok, err := a.session.Next()
 	if err != nil {
-		_ = a.session.Close()
+		sock.Discard(a.session)
 		writeError(c, a.id, err)
 		return
 	}
--- a/hengin/client.go
+++ b/hengin/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/hconn"
+	"github.com/teaselstream/teaselstream/sock"
 )
 
 const (
@@ -59,7 +60,7 @@
 	c.fill(q, fasthttp.MethodPost, address, "/v1/streams", body)
 	q.Header.Set("Accept", "text/event-stream")
 	if err := send(ctx, conn, q); err != nil {
-		_ = conn.Close()
+		sock.Discard(conn)
 		return nil, fmt.Errorf("send stream request to %s: %w: %w", address, teaselstream.ErrOutcomeUnknown, err)
 	}
 	return &stream{conn: conn, address: address, pool: &c.streams}, nil
--- a/hengin/pool.go
+++ b/hengin/pool.go
@@ -39,7 +39,7 @@
 		if !sock.Closed(c) {
 			return c, nil
 		}
-		_ = c.Close()
+		sock.Discard(c)
 	}
 	d := net.Dialer{Timeout: dialTimeout}
 	return d.DialContext(ctx, "tcp", address)
@@ -72,7 +72,7 @@
 	}
 	list := p.idle[address]
 	if len(list) >= maxIdlePerAddress {
-		_ = c.Close()
+		sock.Discard(c)
 		return
 	}
 	p.idle[address] = append(list, idleConn{conn: c, since: time.Now()})
@@ -90,6 +90,6 @@
 
 func closeAll(list []idleConn) {
 	for _, c := range list {
-		_ = c.conn.Close()
+		sock.Discard(c.conn)
 	}
 }
--- a/hengin/stream.go
+++ b/hengin/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"strconv"
 	"sync/atomic"
@@ -87,7 +88,10 @@
 // Interrupt makes a waiting Next return a Tick.
 func (s *stream) Interrupt() {
 	s.interrupted.Store(true)
-	_ = s.conn.SetReadDeadline(time.Unix(1, 0))
+	if err := s.conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		// A closed connection ends a waiting read by itself.
+		slog.Debug("ReadNotInterrupted", "address", s.address, "error", err)
+	}
 }
 
 // Close keeps the connection for another stream if the answer was read to its end, and closes it otherwise.
@@ -109,8 +113,10 @@
 		return false
 	}
 	if s.chunks.state != chunkEnd && s.conn.SetReadDeadline(time.Now().Add(time.Millisecond)) == nil {
-		_ = s.fill()
-		_ = s.dechunk()
+		if err := errors.Join(s.fill(), s.dechunk()); err != nil {
+			// The end has not arrived; the connection is closed instead of kept.
+			slog.Debug("ConnectionNotKept", "address", s.address, "error", err)
+		}
 	}
 	return s.chunks.state == chunkEnd && s.rawAt == len(s.raw)
 }
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -8,6 +8,7 @@
 	"github.com/gobwas/ws"
 
 	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/sock"
 	"github.com/teaselstream/teaselstream/wire"
 )
 
@@ -57,7 +58,7 @@
 		if err != nil || br != nil {
 			// The acceptor is silent until the Hello, so early data is a fault of protocol.
 			if c != nil {
-				_ = c.Close()
+				sock.Discard(c)
 			}
 			m.dialEnded(address, nil)
 			return
--- a/peer/event.go
+++ b/peer/event.go
@@ -9,6 +9,7 @@
 	"github.com/gobwas/ws"
 	"github.com/panjf2000/gnet/v2"
 
+	"github.com/teaselstream/teaselstream/sock"
 	"github.com/teaselstream/teaselstream/wire"
 )
 
@@ -181,7 +182,7 @@
 	for _, l := range stale {
 		l.mu.Lock()
 		if l.conn != nil {
-			_ = l.conn.Close()
+			sock.Discard(l.conn)
 		}
 		l.mu.Unlock()
 	}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -12,6 +12,7 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/sock"
 	"github.com/teaselstream/teaselstream/wire"
 )
 
@@ -183,7 +184,7 @@
 	}
 	m.mu.Unlock()
 	if !ok {
-		_ = c.Close()
+		sock.Discard(c)
 		return
 	}
 	if _, err := m.client.EnrollContext(c, l); err != nil {
