--- a/cmd/faults/plan.go
+++ b/cmd/faults/plan.go
@@ -45,6 +45,21 @@
 		name := w.replicaName(r)
 		return w.disturb(name, w.links[name], r)
 	}},
+	{"answers lost", func(w *world, r *rand.Rand) (string, func() error) {
+		name := fmt.Sprintf("m%d", modelCount+r.IntN(plainCount))
+		if !w.claim("link " + name) {
+			return "", nil
+		}
+		// Calls run, and their answers are lost with the connections.
+		k := w.links[name]
+		k.set(deaf)
+		return name, func() error {
+			k.reset()
+			k.set(pass)
+			w.release("link " + name)
+			return nil
+		}
+	}},
 	{"store down", func(w *world, _ *rand.Rand) (string, func() error) {
 		if !w.claim("store") {
 			return "", nil
@@ -121,7 +136,12 @@
 		return name + " reset", func() error { w.release("link " + name); return nil }
 	}
 	k.set(m)
+	// Bytes that are held go on when the link heals, or are lost with their connections.
+	lost := r.IntN(2) == 0
 	return name + " " + m.String(), func() error {
+		if lost {
+			k.reset()
+		}
 		k.set(pass)
 		w.release("link " + name)
 		return nil
