--- a/cmd/faults/vm.go
+++ b/cmd/faults/vm.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"os/exec"
@@ -78,7 +79,7 @@
 	ended := v.ended
 	go func() {
 		if err := c.Wait(); err != nil {
-			fmt.Fprintln(log, "process ended:", err)
+			slog.Debug("ProcessEnded", "vm", v.name, "error", err)
 		}
 		sock.Discard(log)
 		v.mu.Lock()
