flow: give up a path whose servers answer only after 1.6 s

The new parts read all tokens of about 100 streams, which takes over a second; the attempt was then given up as hung after 1.1 s, although its first server worked on it, and the streams that were refused elsewhere were cut.

Test: the last script of flow/testdata/stream/loss, which failed before. The script of a hung attempt now shows that it is given up at 1.7 s instead of 1.2 s.

--- a/flow/stream.go
+++ b/flow/stream.go
@@ -19,8 +19,9 @@
 	eventCheck = 110 * time.Millisecond
 	// probeGrowth spaces further probes of a path whose servers all answer.
 	probeGrowth = 1.6
-	// hungTime is the silence after which a path whose servers all answer is given up. Callers leave after 2 s without an event.
-	hungTime = 1100 * time.Millisecond
+	// hungTime is the silence after which a path whose servers all answer is given up. The new parts of a move read all
+	// tokens of many streams for up to 1.5 s; callers leave after 2 s without an event.
+	hungTime = 1600 * time.Millisecond
 	// patience bounds the wait of a running stream for a path; callers leave after 2 s without an event.
 	patience = 1600 * time.Millisecond
 	// planWait spaces the looks for a path in that time.
