flow: do not move streams that end before a leaving server does

Cause: every stream on a leaving server was moved, and the new part read all tokens of each; most would have ended within the drain time.

Test: TestOutlasts.

--- a/flow/loss.go
+++ b/flow/loss.go
@@ -179,3 +179,13 @@
 	s.avoid[id] = true
 	return s.leave(now, "part is leaving")
 }
+
+// Outlasts reports whether a stream that has made some of its expected events in a running time probably goes on for
+// longer than a time that is left. The move of one that does not would only make the new part read all its tokens, in front
+// of others. A stream that is longer than expected counts as one that goes on.
+func Outlasts(expected, events int, running, left time.Duration) bool {
+	if events == 0 || events >= expected {
+		return true
+	}
+	return time.Duration(expected-events)*(running/time.Duration(events)) > left
+}
--- a/flow/stream_test.go
+++ b/flow/stream_test.go
@@ -247,3 +247,24 @@
 		return fmt.Sprintf("%s %s retry after %s", e.Code, e.Outcome, e.RetryAfter)
 	}
 }
+
+// Guards against moves of streams that end before a leaving server does: the pattern of a release of six servers, on which
+// the new parts read all tokens of 100 streams for over a second.
+func TestOutlasts(t *testing.T) {
+	for _, x := range []struct {
+		name             string
+		expected, events int
+		running, left    time.Duration
+		want             bool
+	}{
+		{"not begun", 60, 0, 0, time.Second, true},
+		{"ends in time", 60, 40, 1200 * time.Millisecond, time.Second, false},
+		{"goes on", 60, 10, 300 * time.Millisecond, time.Second, true},
+		{"longer than expected", 60, 70, 2 * time.Second, time.Second, true},
+		{"no time left", 60, 59, 2 * time.Second, 0, true},
+	} {
+		if got := Outlasts(x.expected, x.events, x.running, x.left); got != x.want {
+			t.Errorf("%s: Outlasts() = %t, want %t", x.name, got, x.want)
+		}
+	}
+}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -172,7 +172,7 @@
 		case m == nil:
 		case v != s.seen && m.State == fleet.Down:
 			lost = append(lost, p.Server)
-		case m.State == fleet.Leaving && now.Sub(m.LeavingSince) > drain:
+		case m.State == fleet.Leaving && now.Sub(m.LeavingSince) > drain && s.outlasts(now, m):
 			cmds = append(cmds, s.core.Vacate(now, p.Server)...)
 		}
 	}
@@ -183,6 +183,13 @@
 	return cmds
 }
 
+// outlasts reports whether the stream probably goes on after a leaving server has ended.
+func (s *streamRun) outlasts(now time.Time, m *fleet.Member) bool {
+	left := s.handler.Planner.DrainTime - now.Sub(m.LeavingSince)
+	expected := s.answerTokens() / max(s.pool.Engine.Stride, 1)
+	return flow.Outlasts(expected, s.events, now.Sub(s.Arrived.Add(s.first)), left)
+}
+
 // execute carries out commands and reports whether the request has ended.
 func (s *streamRun) execute(cmds []teaselstream.Cmd) bool {
 	for _, c := range cmds {
