--- a/flow/loss.go
+++ b/flow/loss.go
@@ -24,13 +24,9 @@
 		return s.open(now, "waited for a path or budget")
 	}
 	silent := now.Sub(s.progress)
-	if s.probing || s.moving || silent < min(s.checkWait(), s.probeWait) {
+	if s.probing || s.moving || silent < s.probeWait {
 		return nil
 	}
-	if !s.checked && silent < s.probeWait {
-		s.checked = true
-		return []teaselstream.Cmd{CheckParts{s.Attempt, s.Path}}
-	}
 	if silent > hungTime && s.mayRepeat() && s.counted() < max(s.MaxServers, 1) {
 		s.avoid[s.Path[0].Server] = true
 		return s.resume(now, "no event")
@@ -55,19 +51,6 @@
 	return s.leave(now, "part does not answer")
 }
 
-func (s *Stream) onChecked(now time.Time, m PartsChecked) []teaselstream.Cmd {
-	if m.Attempt != s.Attempt {
-		return nil
-	}
-	for _, id := range m.Servers {
-		s.avoid[id] = true
-	}
-	if s.moving || !s.reopen.IsZero() {
-		return nil
-	}
-	return s.leave(now, "part takes no connection")
-}
-
 func (s *Stream) onLost(now time.Time, m Lost) []teaselstream.Cmd {
 	for _, id := range m.Servers {
 		s.avoid[id] = true
@@ -129,7 +112,7 @@
 	s.moving = false
 	if m.Err == nil {
 		// The new parts read all tokens so far before the next event.
-		s.progress, s.checked = now, false
+		s.progress = now
 		s.probeWait = max(s.probeWait, firstProbe)
 		return nil
 	}
--- a/flow/message.go
+++ b/flow/message.go
@@ -44,12 +44,6 @@
 		Stalled string
 	}
 
-	// PartsChecked names servers of the attempt's path that did not take a connection.
-	PartsChecked struct {
-		Attempt teaselstream.Attempt
-		Servers []teaselstream.ServerID
-	}
-
 	// Repathed brings the result of a Repath.
 	Repathed struct {
 		Attempt teaselstream.Attempt
@@ -81,13 +75,6 @@
 		Reason  string
 	}
 
-	// CheckParts connects to the servers behind the first one of a path, and PartsChecked answers if one does not take the
-	// connection. It finds a server that has ended sooner than Probe, whose figures are some hundred milliseconds old.
-	CheckParts struct {
-		Attempt teaselstream.Attempt
-		Path    teaselstream.Path
-	}
-
 	// Probe asks the first server of a path what the request waits for.
 	Probe struct {
 		Attempt teaselstream.Attempt
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -13,10 +13,6 @@
 	firstProbe = 230 * time.Millisecond
 	// eventProbe is the same wait for a further event; the longest pauses of a loaded path are 130 ms.
 	eventProbe = 230 * time.Millisecond
-	// firstCheck and eventCheck are the waits for the first and a further event before the other servers of the path are
-	// checked: over the longest usual ones, and early enough to move the request within the usual bounds on pauses of 200 ms.
-	firstCheck = 150 * time.Millisecond
-	eventCheck = 110 * time.Millisecond
 	// probeGrowth spaces further probes of a path whose servers all answer.
 	probeGrowth = 1.6
 	// hungTime is the silence after which a path whose servers all answer is given up. The new parts of a move read all
@@ -100,13 +96,11 @@
 		// eventAt is when the last event was delivered.
 		eventAt   time.Time
 		probeWait time.Duration
-		// checked says that the parts were checked in this silence.
-		checked bool
-		probing bool
-		moving  bool
-		opened  bool
-		begun   bool
-		reopen  time.Time
+		probing   bool
+		moving    bool
+		opened    bool
+		begun     bool
+		reopen    time.Time
 		// owed says that the next send still has to draw on the retry budget.
 		owed bool
 		done bool
@@ -132,8 +126,6 @@
 		return s.onClosed(now, m)
 	case Probed:
 		return s.onProbed(now, m)
-	case PartsChecked:
-		return s.onChecked(now, m)
 	case Repathed:
 		return s.onRepathed(now, m)
 	case Lost:
@@ -182,7 +174,7 @@
 	s.Attempt++
 	s.opens++
 	s.Path, s.step = path, step
-	s.repaths, s.probing, s.moving, s.opened, s.begun, s.checked = 0, false, false, false, false, false
+	s.repaths, s.probing, s.moving, s.opened, s.begun = 0, false, false, false, false
 	s.progress, s.reopen = now, time.Time{}
 	s.probeWait = firstProbe
 	last := uint64(0)
@@ -250,7 +242,7 @@
 	if m.ID != 0 {
 		s.last = m.ID
 	}
-	s.delivered, s.eventAt, s.checked = true, now, false
+	s.delivered, s.eventAt = true, now
 	s.probeWait = eventProbe
 	return []teaselstream.Cmd{Deliver{s.Attempt, m.Data}}
 }
@@ -283,16 +275,5 @@
 		// The result of the probe or move comes as a message.
 		return s.progress.Add(hungTime + s.probeWait)
 	}
-	return s.progress.Add(min(s.probeWait, s.checkWait()))
-}
-
-// checkWait returns the silence after which the parts are checked; once in each silence.
-func (s *Stream) checkWait() time.Duration {
-	switch {
-	case s.checked:
-		return s.probeWait
-	case s.delivered:
-		return eventCheck
-	}
-	return firstCheck
+	return s.progress.Add(s.probeWait)
 }
--- a/flow/stream_test.go
+++ b/flow/stream_test.go
@@ -157,12 +157,6 @@
 			m.Stalled = f[3]
 		}
 		return s.stream.Update(now, m)
-	case "checked":
-		m := PartsChecked{Attempt: attemptOf(f[2])}
-		for _, id := range f[3:] {
-			m.Servers = append(m.Servers, teaselstream.ServerID(id))
-		}
-		return s.stream.Update(now, m)
 	case "moved":
 		return s.stream.Update(now, Repathed{Attempt: attemptOf(f[2])})
 	case "notmoved":
@@ -215,8 +209,6 @@
 		return fmt.Sprintf("open %d %v after %d: %s", c.Attempt, c.Path.Servers(), c.LastEvent, c.Reason)
 	case Abort:
 		return fmt.Sprintf("abort %d: %s", c.Attempt, c.Reason)
-	case CheckParts:
-		return fmt.Sprintf("check %d %v", c.Attempt, c.Path.Servers())
 	case Probe:
 		return fmt.Sprintf("probe %d %s", c.Attempt, c.Path[0].Server)
 	case Repath:
--- a/proxy/prober.go
+++ b/proxy/prober.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
-	"net"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/fleet"
-	"github.com/teaselstream/teaselstream/flow"
 )
 
 const (
@@ -19,8 +16,6 @@
 	probeTimeout = 90 * time.Millisecond
 	// probeShare is how long a probe's result serves other streams.
 	probeShare = 100 * time.Millisecond
-	// reachTimeout bounds the wait for a connection to a part, which is one or two milliseconds away.
-	reachTimeout = 60 * time.Millisecond
 )
 
 type (
@@ -28,8 +23,6 @@
 	prober struct {
 		mu     sync.Mutex
 		recent map[teaselstream.ServerID]*probe
-		// reached holds attempts to connect.
-		reached map[teaselstream.ServerID]*probe
 	}
 
 	probe struct {
@@ -80,57 +73,3 @@
 	h.Post(fleet.Silent{Server: id, Incarnation: incarnation, Ended: errors.Is(err, syscall.ECONNREFUSED), Reason: err.Error()})
 	return report, err
 }
-
-// reach reports whether a server takes a connection, by this or a very recent attempt.
-func (p *prober) reach(m *fleet.Member) error {
-	now := time.Now()
-	p.mu.Lock()
-	if p.reached == nil {
-		p.reached = make(map[teaselstream.ServerID]*probe)
-	}
-	x := p.reached[m.ID]
-	if x != nil && now.Sub(x.at) <= probeShare {
-		p.mu.Unlock()
-		<-x.done
-		return x.err
-	}
-	x = &probe{at: now, done: make(chan struct{})}
-	p.reached[m.ID] = x
-	p.mu.Unlock()
-	d := net.Dialer{Timeout: reachTimeout, KeepAlive: -1}
-	c, err := d.Dial("tcp", m.Address)
-	if err == nil {
-		err = c.Close()
-	}
-	x.err = err
-	close(x.done)
-	return err
-}
-
-// check tells the core which servers behind the first one of a path take no connection.
-func (s *streamRun) check(c flow.CheckParts) {
-	v := s.handler.View()
-	errs := make([]error, len(c.Path))
-	var wait sync.WaitGroup
-	for i, p := range c.Path[1:] {
-		if m := v.Members[p.Server]; m != nil {
-			wait.Go(func() { errs[i+1] = s.handler.prober.reach(m) })
-		}
-	}
-	wait.Wait()
-	checked := flow.PartsChecked{Attempt: c.Attempt}
-	for i, err := range errs {
-		if err == nil {
-			continue
-		}
-		m := v.Members[c.Path[i].Server]
-		checked.Servers = append(checked.Servers, m.ID)
-		s.log("PartUnreached", slog.LevelInfo, "attempt", c.Attempt, "server", string(m.ID), "error", err.Error())
-		if errors.Is(err, syscall.ECONNREFUSED) && m.State != fleet.Down {
-			s.handler.Post(fleet.Silent{Server: m.ID, Incarnation: m.Incarnation, Ended: true, Reason: "connection refused"})
-		}
-	}
-	if len(checked.Servers) > 0 {
-		s.tell(context.Background(), checked)
-	}
-}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -200,8 +200,6 @@
 			s.cancel()
 			s.hold(nil)
 			s.log("AttemptAborted", slog.LevelInfo, "attempt", c.Attempt, "reason", c.Reason)
-		case flow.CheckParts:
-			go s.check(c)
 		case flow.Probe:
 			go s.probe(c)
 		case flow.Repath:
--- a/trace/cause.go
+++ b/trace/cause.go
@@ -93,8 +93,6 @@
 func lossOf(lines []Line) string {
 	for _, x := range lines {
 		switch {
-		case x.Event == "PartUnreached":
-			return "server " + x.text("server") + " took no connection"
 		case x.Event == "PathProbed" && x.text("stalled") != "":
 			return "the part at " + x.text("stalled") + " did not answer"
 		case x.Event == "PathProbed" && x.text("error") != "":
