faults: the platform's names move into the stand-in; VMs have addresses of their own

The start-up code that it shared with the other programs is shorter.

The port race that is suspected is gone, and the failure prints the VM's log. Tests: TestStampOf, TestVMAddressIsItsOwn.

--- a/cmd/faults/caller.go
+++ b/cmd/faults/caller.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/teaselstream/teaselstream/cmd/stand/plat"
 	"github.com/teaselstream/teaselstream/sock"
 )
 
@@ -98,9 +99,7 @@
 		return nil, fmt.Errorf("make request: %w", err)
 	}
 	q.Host = testHost
-	for name, value := range map[string]string{"X-Attempt-Id": attempt, "X-Api-Key": key, "X-Deadline-Ms": fmt.Sprint(callerWait.Milliseconds())} {
-		q.Header.Set(name, value)
-	}
+	plat.SetCaller(q.Header, attempt, key, callerWait)
 	p, err := t.RoundTrip(q)
 	if err != nil {
 		return nil, fmt.Errorf("send request: %w", err)
@@ -127,7 +126,7 @@
 		c.deny(id, p.StatusCode)
 		return false
 	}
-	if !strings.HasPrefix(p.Header.Get("X-Replica-Stamp"), "stamp-m") {
+	if !strings.HasPrefix(plat.StampOf(p.Header), "m") {
 		c.violate("stream %s: success without a replica's stamp", id)
 	}
 	next := 1
--- a/cmd/faults/faults_test.go
+++ b/cmd/faults/faults_test.go
@@ -47,3 +47,14 @@
 		})
 	}
 }
+
+// Guards against a VM that cannot listen since an outgoing connection, which has a port of 127.0.0.1, took its address.
+func TestVMAddressIsItsOwn(t *testing.T) {
+	a, err := freeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if strings.HasPrefix(a, "127.0.0.1:") {
+		t.Errorf("address %s is among those of outgoing connections", a)
+	}
+}
--- a/cmd/faults/main.go
+++ b/cmd/faults/main.go
@@ -20,7 +20,6 @@
 	Runs    int           `long:"runs" default:"1" description:"number of runs, with rising seeds"`
 	Time    time.Duration `long:"time" default:"20s" description:"how long faults are injected in each run"`
 	Verbose bool          `long:"verbose" description:"print each fault"`
-	Version bool          `long:"version" description:"print the version and exit"`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -30,10 +29,6 @@
 	if code, done := launch.Parse(program, &o, args); done {
 		return code
 	}
-	if o.Version {
-		fmt.Println(program, launch.Version())
-		return 0
-	}
 	if o.Runs < 1 || o.Time <= 0 {
 		return launch.Complain(program, launch.ExitSettings, errors.New("--runs and --time; accepted: above 0"))
 	}
@@ -99,7 +94,7 @@
 	defer func() { err = errors.Join(err, w.close(), w.keepLogs(err != nil || len(broken) > 0)) }()
 	for _, v := range w.vms {
 		if !w.serves(v, 1, time.Now().Add(startTime)) {
-			return []string{v.name + " serves nothing after the start"}, nil
+			return []string{fmt.Sprintf("%s serves nothing after the start; %d ends by itself; its log ends with:\n%s", v.name, v.unaskedEnds(), v.lastLines())}, nil
 		}
 	}
 	r := rand.New(rand.NewPCG(seed, seed))
@@ -161,11 +156,8 @@
 		w.callers.violate("replicas saw: %s", f)
 	}
 	for _, v := range w.vms {
-		v.mu.Lock()
-		unasked := v.unasked
-		v.mu.Unlock()
-		if unasked > 0 {
-			w.callers.violate("%s ended %d times by itself", v.name, unasked)
+		if n := v.unaskedEnds(); n > 0 {
+			w.callers.violate("%s ended %d times by itself", v.name, n)
 		}
 	}
 }
--- a/cmd/faults/plan.go
+++ b/cmd/faults/plan.go
@@ -91,7 +91,7 @@
 	}},
 	{"configuration", func(w *world, r *rand.Rand) (string, func() error) {
 		w.version += 1 + r.IntN(3)
-		w.store.Put("op/config", w.fleet.Config(w.version, testKey, fmt.Sprintf("key-%d", w.version)))
+		w.fleet.Configure(w.version, testKey, fmt.Sprintf("key-%d", w.version))
 		return fmt.Sprint("version ", w.version), func() error { return nil }
 	}},
 }
--- a/cmd/faults/vm.go
+++ b/cmd/faults/vm.go
@@ -17,6 +17,9 @@
 // endTime bounds the end of a VM after a signal; its grace time is 8 s.
 const endTime = 12 * time.Second
 
+// logTail is how much of a VM's log a failure at the start shows.
+const logTail = 2000
+
 // vm is one gate process, its link to the store and its addresses, which outlive restarts.
 type vm struct {
 	name      string
@@ -34,15 +37,26 @@
 	unasked int
 }
 
-// freeAddress returns a loopback address that nothing listens on.
+// freeAddress returns a loopback address that nothing listens on. It is not 127.0.0.1, whose ports outgoing connections
+// take between this look and the VM's listening. Processes that run beside this one have other addresses.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 128+pid>>8&63, pid&255))
 	if err != nil {
 		return "", fmt.Errorf("find a free port: %w", err)
 	}
 	return l.Addr().String(), l.Close()
 }
 
+// lastLines returns the end of the VM's log.
+func (v *vm) lastLines() string {
+	text, err := os.ReadFile(v.file("log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(0, len(text)-logTail):])
+}
+
 func newVM(name, directory, program string, store *link) (*vm, error) {
 	var addresses [3]string
 	for i := range addresses {
@@ -102,6 +116,13 @@
 	}
 }
 
+// unaskedEnds counts the ends of the process that no signal of ours caused.
+func (v *vm) unaskedEnds() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.unasked
+}
+
 // wait waits until a process that was told to end has ended, and kills it if it does not.
 func (v *vm) wait() error {
 	v.mu.Lock()
--- a/cmd/faults/world.go
+++ b/cmd/faults/world.go
@@ -65,7 +65,7 @@
 			w.callers.violate("store: %v", err)
 		}
 	}()
-	w.store.Put("op/config", w.fleet.Config(w.version, testKey))
+	w.fleet.Configure(w.version, testKey)
 	for i := range modelCount + plainCount {
 		if err := w.add(fmt.Sprintf("m%d", i), i); err != nil {
 			return w, err
--- a/cmd/gate/path_test.go
+++ b/cmd/gate/path_test.go
@@ -74,7 +74,7 @@
 	server := &http.Server{Handler: s.store, ReadHeaderTimeout: startTime}
 	go func() { _ = server.Serve(storeListener) }()
 	s.fleet = &plat.Fleet{Store: s.store, Service: "model", Plain: "plain", Layers: testLayers}
-	s.store.Put("op/config", s.fleet.Config(1, testKey))
+	s.fleet.Configure(1, testKey)
 	for i := range 4 {
 		r, err := s.fleet.Add(fmt.Sprintf("m%d", i), "zone-a", "acc")
 		if err != nil {
@@ -167,9 +167,7 @@
 		return answer{err: err, attempt: attempt}
 	}
 	q.Host = "test.example"
-	q.Header.Set("X-Attempt-Id", attempt)
-	q.Header.Set("X-Api-Key", key)
-	q.Header.Set("X-Deadline-Ms", "6000")
+	plat.SetCaller(q.Header, attempt, key, 6*time.Second)
 	p, err := http.DefaultTransport.(*http.Transport).Clone().RoundTrip(q)
 	if err != nil {
 		return answer{err: err, attempt: attempt}
@@ -204,8 +202,8 @@
 	s := newSite(t, 1)
 	s.checkEvents(t, s.get(0, "/draft/?n=20", "a1"), 20)
 	a := s.do(0, http.MethodPost, "/order/7", "a2", testKey)
-	if a.status != http.StatusOK || a.body != "POST /order/7 by team team-a" || !strings.HasPrefix(a.header.Get("X-Replica-Stamp"), "stamp-p") {
-		t.Errorf("order: status %d, body %q, stamp %q", a.status, a.body, a.header.Get("X-Replica-Stamp"))
+	if a.status != http.StatusOK || a.body != "POST /order/7 by team team-a" || !strings.HasPrefix(plat.StampOf(a.header), "p") {
+		t.Errorf("order: status %d, body %q, stamp %q", a.status, a.body, plat.StampOf(a.header))
 	}
 	if a := s.do(0, http.MethodGet, "/look/7", "a3", "key-b"); a.status != http.StatusUnauthorized {
 		t.Errorf("unknown key: status %d, want 401", a.status)
@@ -276,7 +274,7 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 	s.store.Compact()
-	s.store.Put("op/config", s.fleet.Config(2, "key-b"))
+	s.fleet.Configure(2, "key-b")
 	s.store.SetDown(false)
 	for limit := time.Now().Add(5 * time.Second); ; time.Sleep(50 * time.Millisecond) {
 		if s.get(0, "/look/1", "d8").status == http.StatusUnauthorized {
--- /dev/null
+++ b/cmd/stand/plat/caller_test.go
@@ -0,0 +1,16 @@
+package plat
+
+import (
+	"net/http"
+	"testing"
+)
+
+// Guards against an answer without a replica's stamp, or with a damaged one, that counts as a replica's.
+func TestStampOf(t *testing.T) {
+	for stamp, want := range map[string]string{"stamp-m1-2": "m1-2", "stamp-": "", "stam": "", "m1": "", "": ""} {
+		h := http.Header{"X-Replica-Stamp": {stamp}}
+		if got := StampOf(h); got != want {
+			t.Errorf("StampOf(%q) = %q, want %q", stamp, got, want)
+		}
+	}
+}
