proxy: log what ran on a server that broke off an answer

The first attempt of a request that a server broke off left no line, and no line named the parts of a prompt that requests share, so that the logs could not tell servers that end because of what they run from servers that end by themselves. AttemptBroken names server, incarnation, whether the response had begun, its events and the shared segments of the prompt (dialect: the prefix header, without its last part). tsctl explain gives it as the cause. The stand-in of a replica can crash when it begins to answer a request. No decision changes.

--- a/cmd/stand/plat/replica.go
+++ b/cmd/stand/plat/replica.go
@@ -33,11 +33,16 @@
 		Layers       int
 		// ListAddress returns the address to list a replica at, for example that of a proxy; nil means the replica's own.
 		ListAddress func(id, address string) (string, error)
+		// Crashes reports whether a request crashes the replica that begins to answer it; nil means never. It must be set before
+		// the first request.
+		Crashes func(*http.Request) bool
 
 		mu           sync.Mutex
 		replicas     map[string]*Replica
 		executions   map[string]int
 		callerErrors []string
+		crashes      crashLog
+		closed       bool
 	}
 
 	// Replica is one backend server with its own listener.
@@ -121,6 +126,7 @@
 func (f *Fleet) Close() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.closed = true
 	for _, r := range f.replicas {
 		if err := r.server.Close(); err != nil {
 			f.callerErrors = append(f.callerErrors, err.Error())
@@ -214,6 +220,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	r.fleet.recordArrival(q)
 	switch {
 	case q.URL.Path == "/v1/report":
 		r.report(w)
@@ -290,6 +297,7 @@
 func (r *Replica) call(w http.ResponseWriter, q *http.Request) {
 	r.recordStart(q)
 	time.Sleep(callDuration)
+	r.crashIfHarmful(q)
 	if q.URL.Query().Get("lose") != "" {
 		// The call has been executed, and the response is lost with the connection.
 		panic(http.ErrAbortHandler)
@@ -355,6 +363,12 @@
 	}()
 	r.setReplicaHeaders(w, q)
 	w.Header().Set("Content-Type", "text/event-stream")
+	if r.fleet.harmful(q) {
+		w.WriteHeader(http.StatusOK)
+		flush(w)
+		r.step(q, s)
+		r.crashIfHarmful(q)
+	}
 	after, err := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	if err != nil {
 		after = 0
@@ -366,9 +380,13 @@
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", n, n); err != nil {
 			return
 		}
-		if f, ok := w.(http.Flusher); ok {
-			f.Flush()
-		}
+		flush(w)
+	}
+}
+
+func flush(w http.ResponseWriter) {
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
 	}
 }
 
--- a/id.go
+++ b/id.go
@@ -57,6 +57,9 @@
 	// Revision is the store's version of a key; 0 means that the key is absent.
 	Revision uint64
 
+	// SegmentID identifies a part of a prompt that several requests may share.
+	SegmentID string
+
 	// LeaseID identifies a lease in the store; 0 means none.
 	LeaseID uint64
 
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -37,9 +37,11 @@
 		reservedTokens int64
 		lastView       *fleet.View
 		events         int
-		lastEventAt    time.Time
-		longestGap     time.Duration
-		moves          int
+		// attemptEvents counts the events of the current attempt.
+		attemptEvents int
+		lastEventAt   time.Time
+		longestGap    time.Duration
+		moves         int
 		// drainJitter in [0, 1) spreads the times at which streams leave the same draining server.
 		drainJitter float64
 	}
@@ -134,6 +136,7 @@
 			s.recordLoad(now, a.Opened)
 			return s.core.Update(now, a.Opened)
 		}
+		s.recordProgress(m)
 		return s.core.Update(now, m)
 	case <-s.Disconnected:
 		return s.core.Update(time.Now(), flow.CallerDisconnected{})
@@ -146,6 +149,32 @@
 	}
 }
 
+// recordProgress counts the events of the current attempt and logs its end if the server broke it off.
+func (s *streamRunner) recordProgress(m teaselstream.Msg) {
+	switch m := m.(type) {
+	case flow.Event:
+		if m.Attempt == s.core.Attempt {
+			s.attemptEvents++
+		}
+	case flow.Closed:
+		if m.Attempt == s.core.Attempt && !m.Complete && !m.NotSent {
+			s.logBroken(m)
+		}
+	}
+}
+
+// logBroken logs what ran on a server that broke off an answer, so that servers that end one after another can be traced to
+// what their requests have in common.
+func (s *streamRunner) logBroken(m flow.Closed) {
+	first := s.core.Path[0].Server
+	var incarnation teaselstream.Incarnation
+	if v := s.handler.View().Members[first]; v != nil {
+		incarnation = v.Incarnation
+	}
+	s.log("AttemptBroken", slog.LevelInfo, "attempt", m.Attempt, "server", string(first), "incarnation", uint64(incarnation),
+		"begun", s.responses[m.Attempt] != nil, "events", s.attemptEvents, "segments", s.head.Segments, "error", m.Reason)
+}
+
 // recordLoad records the load that the first server of the path states in its response.
 func (s *streamRunner) recordLoad(now time.Time, o flow.Opened) {
 	if o.Answer.NotRun {
@@ -242,7 +271,7 @@
 	s.cancel()
 	s.reserve(c.Path)
 	ctx, cancel := context.WithDeadline(context.Background(), s.deadline)
-	s.cancel = cancel
+	s.cancel, s.attemptEvents = cancel, 0
 	if c.Attempt > 1 {
 		s.handler.Meter.Count(meter.Retry, 1)
 		s.log("RequestSentAgain", slog.LevelInfo, "attempt", c.Attempt, "reason", c.Reason, "server", string(c.Path[0].Server),
--- a/replica.go
+++ b/replica.go
@@ -106,6 +106,9 @@
 		ExpectedTokens int
 		// LastEvent is the id of the last event that the caller received of a stream to resume; 0 means none.
 		LastEvent uint64
+		// Segments lists the parts of the prompt that other requests may share, in order; the last part of a prompt belongs to the
+		// request alone and is not included.
+		Segments []SegmentID
 	}
 
 	// Dispatch holds what the router states in the headers of a request that it sends to a replica.
--- a/trace/cause.go
+++ b/trace/cause.go
@@ -99,6 +99,8 @@
 			return "server " + x.text("server") + " did not answer a probe"
 		case x.Event == "RequestMoved" && x.text("reason") != "":
 			return "it was moved: " + x.text("reason")
+		case x.Event == "AttemptBroken":
+			return "server " + x.text("server") + " broke it off: " + x.text("error")
 		case (x.Event == "RequestSentAgain" || x.Event == "CallFailed") && x.text("reason")+x.text("error") != "":
 			return x.text("reason") + x.text("error")
 		}
