--- a/cmd/gate/path_test.go
+++ b/cmd/gate/path_test.go
@@ -65,6 +65,12 @@
 
 // startPlatform starts a store, replicas in one failure domain and the given number of gates, and waits until a stream succeeds.
 func startPlatform(t *testing.T, gates int) *testPlatform {
+	t.Helper()
+	return startPlatformWith(t, gates, func(*plat.Fleet) {})
+}
+
+// startPlatformWith starts a platform as startPlatform does, after configure has changed its fleet.
+func startPlatformWith(t *testing.T, gates int, configure func(*plat.Fleet)) *testPlatform {
 	t.Helper()
 	s := &testPlatform{store: &plat.Store{}}
 	storeListener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -74,6 +80,7 @@
 	server := &http.Server{Handler: s.store, ReadHeaderTimeout: startTime}
 	go func() { _ = server.Serve(storeListener) }()
 	s.fleet = &plat.Fleet{Store: s.store, ModelService: "model", PlainService: "plain", Layers: testLayers}
+	configure(s.fleet)
 	s.fleet.Configure(1, testKey)
 	for i := range 4 {
 		r, err := s.fleet.Add(fmt.Sprintf("m%d", i), "zone-a", "acc")
--- a/cmd/stand/plat/caller.go
+++ b/cmd/stand/plat/caller.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -13,6 +14,17 @@
 	h.Set("X-Deadline-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
 }
 
+// SetPrompt sets the headers of a prompt that consists of the given segments, each of segmentTokens tokens; the last one belongs
+// to the request alone.
+func SetPrompt(h http.Header, segments ...string) {
+	const segmentTokens = 40
+	for i, s := range segments {
+		segments[i] = s + ":" + strconv.Itoa(segmentTokens)
+	}
+	h.Set("X-Prefix-Hash", strings.Join(segments, ","))
+	h.Set("X-Token-Counts", strconv.Itoa(segmentTokens*len(segments))+",40")
+}
+
 // ReplicaID returns the id of the replica whose application generated a response, or an empty string if none did.
 func ReplicaID(h http.Header) string {
 	const prefix = "stamp-"
