gate: refuse requests that share what crashes servers

Cause: gate remembered nothing of what ran on a server when it ended. Each VM sent each such request to the next server; no two were alike, so that the bound of servers for one request did not help.

Change: package crash. A VM that loses an answer checks whether the server has ended (its address refuses connections) and reports the requests on it without an answer, with their traits: segments of the prompt and the whole content. Reports pass through the store to all VMs. The trait that was on the most servers, three or more, and that no server has answered, explains their end (greedy cover), together with those that all such requests share; requests with all of them are refused as not run, and those that wait on a server are taken off it. An answer clears a trait, before and after. Signatures outlast the VMs in the store.

--- a/cmd/gate/control.go
+++ b/cmd/gate/control.go
@@ -10,8 +10,10 @@
 	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/config"
 	"github.com/teaselstream/teaselstream/cover"
+	"github.com/teaselstream/teaselstream/crash"
 	"github.com/teaselstream/teaselstream/fleet"
 	"github.com/teaselstream/teaselstream/proxy"
+	"github.com/teaselstream/teaselstream/watch"
 )
 
 const (
@@ -24,14 +26,20 @@
 type (
 	// controlLoop owns fleet.Core and cover.Decider, which run in one goroutine.
 	controlLoop struct {
-		core      fleet.Core
-		decider   cover.Decider
-		inbox     chan teaselstream.Msg
-		view      atomic.Pointer[fleet.View]
-		handler   *proxy.Handler
-		onPublish func(*fleet.View)
-		log       *slog.Logger
-		dropped   atomic.Int64
+		core    fleet.Core
+		decider cover.Decider
+		tracker crash.Tracker
+		vm      teaselstream.VMID
+		inbox   chan teaselstream.Msg
+		view    atomic.Pointer[fleet.View]
+		// quarantine holds what the requests that crash servers have in common.
+		quarantine atomic.Pointer[crash.Quarantine]
+		reports    *watch.Publisher
+		store      teaselstream.Store
+		handler    *proxy.Handler
+		onPublish  func(*fleet.View)
+		log        *slog.Logger
+		dropped    atomic.Int64
 	}
 
 	// globalRand is the global source of math/rand/v2, which is safe for concurrent use.
@@ -46,6 +54,7 @@
 
 func newControlLoop(settings config.GateSettings, log *slog.Logger) *controlLoop {
 	c := &controlLoop{
+		vm:      settings.VM.Name,
 		core:    fleet.Core{Domain: settings.VM.Domain},
 		decider: cover.Decider{VM: settings.VM.Name, Domain: settings.VM.Domain},
 		inbox:   make(chan teaselstream.Msg, inboxSize), log: log,
@@ -76,13 +85,10 @@
 		case <-ctx.Done():
 			return
 		case m := <-c.inbox:
-			if e, ok := m.(cover.Ended); ok {
-				c.decider.Update(time.Now(), e)
-				continue
-			}
-			c.execute(c.core.Update(time.Now(), m))
+			c.handle(time.Now(), m)
 		case now := <-t.C:
 			c.execute(c.core.Update(now, teaselstream.Tick{}))
+			c.execute(c.tracker.Update(now, teaselstream.Tick{}))
 			c.execute(c.decider.Update(now, cover.ViewTick{View: c.current()}))
 			if n := c.dropped.Swap(0); n > 0 {
 				c.log.Warn("ControlMessagesDropped", "count", n)
@@ -91,6 +97,29 @@
 	}
 }
 
+// handle passes a message to the state machine that it is for.
+func (c *controlLoop) handle(now time.Time, m teaselstream.Msg) {
+	switch m := m.(type) {
+	case cover.Ended:
+		c.decider.Update(now, m)
+	case crash.Lost, crash.Answered, crash.ReportRead, crash.RecordRead:
+		c.execute(c.tracker.Update(now, m))
+	case fleet.PeersListed:
+		c.execute(c.core.Update(now, m))
+		c.execute(c.tracker.Update(now, crash.Peers{Self: c.vm, VMs: peerNames(m.Peers)}))
+	default:
+		c.execute(c.core.Update(now, m))
+	}
+}
+
+func peerNames(peers []fleet.Peer) []teaselstream.VMID {
+	names := make([]teaselstream.VMID, len(peers))
+	for i, p := range peers {
+		names[i] = p.Name
+	}
+	return names
+}
+
 func (c *controlLoop) execute(cmds []teaselstream.Cmd) {
 	for _, cmd := range cmds {
 		switch x := cmd.(type) {
@@ -99,6 +128,14 @@
 			c.onPublish(x.View)
 		case fleet.LogEvent:
 			c.logEvent(x)
+		case crash.PublishQuarantine:
+			c.quarantine.Store(x.Quarantine)
+		case crash.LogSignature:
+			c.logSignature(x)
+		case crash.PublishReport:
+			c.publishReport(x.Report)
+		case crash.WriteRecord:
+			go c.writeRecord(x)
 		case fleet.ReadReport:
 			go c.readReport(x)
 		case cover.Hold:
--- /dev/null
+++ b/cmd/gate/crash.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/teaselstream/teaselstream/crash"
+	"github.com/teaselstream/teaselstream/watch"
+)
+
+// recordTimeout limits a write of the signatures; the platform specifies 4 ms, and 60 times that while the store is slow.
+const recordTimeout = time.Second
+
+func (c *controlLoop) logSignature(x crash.LogSignature) {
+	if x.Found {
+		c.log.Warn("CrashSignatureFound", "traits", x.Signature.Traits, "servers", x.Servers)
+		return
+	}
+	c.log.Info("CrashSignatureEnded", "traits", x.Signature.Traits)
+}
+
+func (c *controlLoop) publishReport(r crash.Report) {
+	b, err := crash.EncodeReport(r)
+	if err != nil {
+		c.log.Error("CrashReportNotWritten", "error", err)
+		return
+	}
+	c.reports.Publish(b)
+}
+
+// writeRecord writes the signatures for VMs that start later. If it fails, the tracker tries again with the revision that it
+// has read by then.
+func (c *controlLoop) writeRecord(x crash.WriteRecord) {
+	b, err := crash.EncodeRecord(x.Record)
+	if err == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+		defer cancel()
+		_, err = c.store.CompareAndSwap(ctx, watch.CrashRecordKey, x.Revision, b, 0)
+	}
+	if err != nil {
+		c.log.Warn("CrashRecordNotWritten", "error", err, "revision", uint64(x.Revision))
+	}
+}
--- a/cmd/gate/serve.go
+++ b/cmd/gate/serve.go
@@ -84,9 +84,12 @@
 	}
 	registered, unregister := context.WithCancel(background)
 	defer unregister()
+	registrar := p.registrar()
+	p.controlLoop.reports.Lease = registrar.Lease
+	go registrar.Run(registered)
+	go p.controlLoop.reports.Run(background)
 	go p.controlLoop.run(background)
 	go p.follower().Run(background)
-	go p.registrar().Run(registered)
 	go p.reload(background)
 	go p.closeExpired(background)
 	failed := make(chan error, 1)
@@ -109,9 +112,14 @@
 	p.controlLoop = newControlLoop(settings, p.log)
 	p.handler = &proxy.Handler{
 		View: p.controlLoop.current, Dialect: platform.Dialect{}, Replicas: &platform.Replicas{}, Planner: planner,
-		Balancer: &pick.Balancer{Rand: random}, Budgets: &p.budgets, Rand: random, Meter: p.meter, Log: p.log, Post: p.controlLoop.post,
+		Quarantine: p.controlLoop.quarantine.Load,
+		Balancer:   &pick.Balancer{Rand: random}, Budgets: &p.budgets, Rand: random, Meter: p.meter, Log: p.log, Post: p.controlLoop.post,
 	}
 	p.controlLoop.handler = p.handler
+	p.controlLoop.store = p.store
+	p.controlLoop.reports = &watch.Publisher{
+		Store: p.store, Key: watch.CrashReportPrefix + string(settings.VM.Name), Rand: random, Log: p.log,
+	}
 	p.controlLoop.onPublish = p.shareBudget
 	p.shared = &share.Directory{
 		Directory: p.store, Self: fleet.Peer{Name: settings.VM.Name, Domain: settings.VM.Domain, Address: settings.Listen.Peers},
--- /dev/null
+++ b/crash/doc.go
@@ -0,0 +1,10 @@
+// Package crash finds what the requests that crash backend servers have in
+// common, and names it so that further ones are refused, for the router in
+// cmd/gate; package blame does so for cmd/entry with whole requests only.
+//
+// Each VM reports which of its requests were on a server without an answer when
+// the server ended. Tracker combines the reports of all VMs, which the store
+// passes on: a trait, such as a segment of the prompt, that was on several
+// servers at their end, and that no server has answered since, becomes part of a
+// Signature. Requests with all traits of a signature are refused everywhere.
+package crash
--- /dev/null
+++ b/crash/record.go
@@ -0,0 +1,95 @@
+package crash
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+)
+
+// EncodeReport returns a report as it is stored.
+func EncodeReport(r Report) ([]byte, error) {
+	b, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode crash report: %w", err)
+	}
+	return b, nil
+}
+
+// DecodeReport returns a stored report.
+func DecodeReport(b []byte) (Report, error) {
+	var r Report
+	if err := json.Unmarshal(b, &r); err != nil {
+		return Report{}, fmt.Errorf("decode crash report: %w", err)
+	}
+	return r, nil
+}
+
+// EncodeRecord returns a record as it is stored.
+func EncodeRecord(r Record) ([]byte, error) {
+	b, err := json.Marshal(r)
+	if err != nil {
+		return nil, fmt.Errorf("encode crash record: %w", err)
+	}
+	return b, nil
+}
+
+// DecodeRecord returns a stored record.
+func DecodeRecord(b []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(b, &r); err != nil {
+		return Record{}, fmt.Errorf("decode crash record: %w", err)
+	}
+	return r, nil
+}
+
+func (t *Tracker) readRecord(now time.Time, m RecordRead) {
+	if m.Revision < t.recordRevision {
+		return
+	}
+	t.recordRevision = m.Revision
+	t.record = make(map[string]RecordedSignature)
+	for _, s := range m.Record.Signatures {
+		if now.Sub(time.Unix(s.FoundAt, 0)) <= signatureTTL && len(s.Traits) > 0 {
+			t.record[s.key()] = s
+		}
+	}
+	maps.DeleteFunc(t.revoked, func(key string, _ bool) bool { _, ok := t.record[key]; return !ok })
+	t.unjudged = true
+}
+
+// writeRecord returns a write of the record once a signature has stood for recordDelay and is not in it, or if one of its
+// signatures was revoked here. A VM behind the first in rank waits longer, so that one VM writes.
+func (t *Tracker) writeRecord(now time.Time) []teaselstream.Cmd {
+	if now.Sub(t.recordTriedAt) < recordDelay {
+		return nil
+	}
+	next := maps.Clone(t.record)
+	changed := false
+	for key := range t.revoked {
+		if _, ok := next[key]; ok {
+			delete(next, key)
+			changed = true
+		}
+	}
+	for key, s := range t.found {
+		if _, ok := next[key]; !ok && now.Sub(s.since) >= recordDelay*time.Duration(1+t.rank(key)) {
+			next[key] = RecordedSignature{s.Signature, now.Unix()}
+			changed = true
+		}
+	}
+	if !changed {
+		return nil
+	}
+	t.recordTriedAt = now
+	var r Record
+	for _, key := range slices.Sorted(maps.Keys(next)) {
+		r.Signatures = append(r.Signatures, next[key])
+	}
+	slices.SortStableFunc(r.Signatures, func(a, b RecordedSignature) int { return int(b.FoundAt - a.FoundAt) })
+	r.Signatures = r.Signatures[:min(len(r.Signatures), maxSignatures)]
+	return []teaselstream.Cmd{WriteRecord{r, t.recordRevision}}
+}
--- /dev/null
+++ b/crash/tracker.go
@@ -0,0 +1,322 @@
+package crash
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+)
+
+const (
+	// minLosses is the number of servers that must end with a trait before it is refused. The platform counts from the third
+	// crash for a request that returns unchanged; two servers often end at the same time for another reason.
+	minLosses = 3
+	// soundWindow is how long before the end of a server an answer still shows that a trait is sound. It covers the traits of
+	// frequent requests, some of which are on every server at any time.
+	soundWindow = 2 * time.Second
+	// evidenceTTL is how long the loss of a server is remembered.
+	evidenceTTL = 10 * time.Minute
+	// signatureTTL is how long a signature is refused. A fixed server version answers such requests again.
+	signatureTTL = time.Hour
+	// publishInterval is the least time between two reports of this VM.
+	publishInterval = 100 * time.Millisecond
+	// reportTTL is how long an observation stays in the report; every VM reads changes within two seconds.
+	reportTTL = 30 * time.Second
+	// maxReported limits the suspicions and the clearances in a report, and maxLosses and maxSignatures the memory.
+	maxReported   = 32
+	maxLosses     = 256
+	maxSignatures = 64
+	// clearanceDelay, times a VM's rank for the trait, is how long a VM waits for the clearance of another VM before it reports
+	// its own, so that a large fleet does not report each frequent trait hundreds of times.
+	clearanceDelay = 200 * time.Millisecond
+	// recordDelay is how long a signature must stand before the first VM in rank records it, and between two attempts. By then
+	// all reports about the same losses have been read.
+	recordDelay = 2 * time.Second
+)
+
+type (
+	// Tracker is the state machine that combines the reports of all VMs; its zero value is ready to use.
+	Tracker struct {
+		self teaselstream.VMID
+		vms  []teaselstream.VMID
+
+		losses map[lossKey]*loss
+		// soundAt holds when a server last answered a request with each trait.
+		soundAt map[Trait]time.Time
+		// dismissed holds the losses of which a trait was not suspected because it is sound, while others may suspect it.
+		dismissed map[Trait]map[lossKey]bool
+		// own holds the suspicions and cleared the clearances of this VM's report; clearDue holds when further ones are due.
+		own       []ownSuspicion
+		cleared   map[Trait]time.Time
+		clearDue  map[Trait]time.Time
+		unsent    bool
+		sentAt    time.Time
+		unjudged  bool
+		cleanedAt time.Time
+
+		// found holds the signatures that follow from the losses, with the time since when.
+		found map[string]foundSignature
+		// record holds the signatures that the store keeps, and revoked those of them that a server has answered since.
+		record  map[string]RecordedSignature
+		revoked map[string]bool
+		// recordRevision is the revision at which the record was read.
+		recordRevision teaselstream.Revision
+		recordTriedAt  time.Time
+		refused        map[string]Signature
+	}
+
+	lossKey struct {
+		server      teaselstream.ServerID
+		incarnation teaselstream.Incarnation
+	}
+
+	// loss is the end of a server with the requests that it had not answered.
+	loss struct {
+		at       time.Time
+		requests map[teaselstream.AttemptID]suspect
+	}
+
+	suspect struct {
+		traits []Trait
+		begun  bool
+	}
+
+	ownSuspicion struct {
+		Suspicion
+		at time.Time
+	}
+
+	foundSignature struct {
+		Signature
+		since   time.Time
+		servers []teaselstream.ServerID
+	}
+)
+
+var _ teaselstream.Core = (*Tracker)(nil)
+
+// Update applies one message and returns the commands that follow from it.
+func (t *Tracker) Update(now time.Time, m teaselstream.Msg) []teaselstream.Cmd {
+	if t.losses == nil {
+		t.losses = make(map[lossKey]*loss)
+		t.soundAt = make(map[Trait]time.Time)
+		t.dismissed = make(map[Trait]map[lossKey]bool)
+		t.cleared, t.clearDue = make(map[Trait]time.Time), make(map[Trait]time.Time)
+		t.found, t.refused = make(map[string]foundSignature), make(map[string]Signature)
+		t.record, t.revoked = make(map[string]RecordedSignature), make(map[string]bool)
+	}
+	switch m := m.(type) {
+	case Lost:
+		t.lost(now, m)
+	case Answered:
+		t.answered(now, m)
+	case ReportRead:
+		t.readReport(now, m.Report)
+	case RecordRead:
+		t.readRecord(now, m)
+	case Peers:
+		t.self, t.vms = m.Self, m.VMs
+	case teaselstream.Tick:
+		t.expire(now)
+	}
+	cmds := t.judge(now)
+	cmds = append(cmds, t.publish(now)...)
+	return append(cmds, t.writeRecord(now)...)
+}
+
+func (t *Tracker) lost(now time.Time, m Lost) {
+	s := Suspicion{Request: m.Request, Server: m.Server, Incarnation: m.Incarnation, Traits: m.Traits, Begun: m.Begun}
+	if s.Traits = t.suspectTraits(now, s); len(s.Traits) == 0 {
+		return
+	}
+	t.add(now, s)
+	t.own = append(t.own, ownSuspicion{s, now})
+	t.own = t.own[max(len(t.own)-maxReported, 0):]
+	t.unsent = true
+}
+
+// suspectTraits returns the traits of a request that no server has answered shortly before its server ended or since.
+func (t *Tracker) suspectTraits(lostAt time.Time, s Suspicion) []Trait {
+	var out []Trait
+	for _, x := range s.Traits {
+		if sound, ok := t.soundAt[x]; ok && sound.After(lostAt.Add(-soundWindow)) {
+			t.dismiss(x, lossKey{s.Server, s.Incarnation})
+			continue
+		}
+		out = append(out, x)
+	}
+	return out
+}
+
+// dismiss notes that a trait is sound although it was on a server at its end. From the second loss on, other VMs are told.
+func (t *Tracker) dismiss(x Trait, k lossKey) {
+	if t.dismissed[x] == nil {
+		t.dismissed[x] = make(map[lossKey]bool)
+	}
+	t.dismissed[x][k] = true
+	if _, due := t.clearDue[x]; !due && len(t.dismissed[x]) > 1 {
+		t.clearDue[x] = t.soundAt[x].Add(clearanceDelay * time.Duration(t.rank(string(x))))
+	}
+}
+
+// rank returns this VM's rank for a subject, from 0.
+func (t *Tracker) rank(subject string) int {
+	return max(slices.Index(teaselstream.RendezvousOrder(subject, t.vms), t.self), 0)
+}
+
+func (t *Tracker) add(lostAt time.Time, s Suspicion) {
+	k := lossKey{s.Server, s.Incarnation}
+	l := t.losses[k]
+	if l == nil {
+		t.makeRoom()
+		l = &loss{at: lostAt, requests: make(map[teaselstream.AttemptID]suspect)}
+		t.losses[k] = l
+	}
+	if _, ok := l.requests[s.Request]; ok {
+		return
+	}
+	l.requests[s.Request] = suspect{s.Traits, s.Begun}
+	t.unjudged = true
+}
+
+// makeRoom drops the oldest loss if there are too many.
+func (t *Tracker) makeRoom() {
+	if len(t.losses) < maxLosses {
+		return
+	}
+	oldest := slices.MinFunc(slices.SortedFunc(maps.Keys(t.losses), compareLosses), func(a, b lossKey) int {
+		return t.losses[a].at.Compare(t.losses[b].at)
+	})
+	delete(t.losses, oldest)
+}
+
+// answered clears the traits of a request that a server has answered.
+func (t *Tracker) answered(now time.Time, m Answered) {
+	for _, x := range m.Traits {
+		suspected := t.suspected(x)
+		if x.isContent() && !suspected {
+			// Contents differ from request to request, so that remembering all of them would be of no use.
+			continue
+		}
+		t.soundAt[x] = now
+		if suspected {
+			t.clear(x, now)
+			t.cleared[x] = now
+			t.unsent = true
+		}
+	}
+	for key, s := range t.record {
+		if s.matches(m.Traits) {
+			t.revoked[key] = true
+			t.unjudged = true
+		}
+	}
+}
+
+func (t *Tracker) suspected(x Trait) bool {
+	for _, l := range t.losses {
+		for _, s := range l.requests {
+			if slices.Contains(s.traits, x) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// clear removes a trait from the losses that its answer at the given time rules out as caused by it.
+func (t *Tracker) clear(x Trait, soundAt time.Time) {
+	for k, l := range t.losses {
+		if l.at.After(soundAt.Add(soundWindow)) {
+			continue
+		}
+		for id, s := range l.requests {
+			if !slices.Contains(s.traits, x) {
+				continue
+			}
+			s.traits = slices.DeleteFunc(slices.Clone(s.traits), func(y Trait) bool { return y == x })
+			l.requests[id] = s
+			t.unjudged = true
+			if len(s.traits) == 0 {
+				delete(l.requests, id)
+			}
+		}
+		if len(l.requests) == 0 {
+			delete(t.losses, k)
+		}
+	}
+}
+
+func (t *Tracker) readReport(now time.Time, r Report) {
+	// The clocks of VMs differ by some seconds, so that only a long time since the writing counts.
+	if old := now.Sub(time.Unix(r.WrittenAt, 0)); old > reportTTL {
+		now = now.Add(-old)
+	}
+	for _, c := range r.Cleared {
+		at := now.Add(-c.Age)
+		if at.After(t.soundAt[c.Trait]) {
+			t.soundAt[c.Trait] = at
+		}
+		t.clear(c.Trait, at)
+		delete(t.clearDue, c.Trait)
+		delete(t.dismissed, c.Trait)
+	}
+	for _, s := range r.Suspicions {
+		at := now.Add(-s.Age)
+		if s.Traits = t.suspectTraits(at, s); len(s.Traits) > 0 {
+			t.add(at, s)
+		}
+	}
+}
+
+// publish returns this VM's report if it has changed.
+func (t *Tracker) publish(now time.Time) []teaselstream.Cmd {
+	for x, due := range t.clearDue {
+		if !now.Before(due) {
+			t.cleared[x] = t.soundAt[x]
+			delete(t.clearDue, x)
+			delete(t.dismissed, x)
+			t.unsent = true
+		}
+	}
+	if !t.unsent || now.Sub(t.sentAt) < publishInterval {
+		return nil
+	}
+	t.unsent, t.sentAt = false, now
+	r := Report{WrittenAt: now.Unix()}
+	for _, s := range t.own {
+		s.Age = now.Sub(s.at)
+		r.Suspicions = append(r.Suspicions, s.Suspicion)
+	}
+	traits := slices.SortedFunc(maps.Keys(t.cleared), func(a, b Trait) int { return t.cleared[b].Compare(t.cleared[a]) })
+	for _, x := range traits[:min(len(traits), maxReported)] {
+		r.Cleared = append(r.Cleared, Clearance{x, now.Sub(t.cleared[x])})
+	}
+	return []teaselstream.Cmd{PublishReport{r}}
+}
+
+// expire drops what is too old to matter.
+func (t *Tracker) expire(now time.Time) {
+	if now.Sub(t.cleanedAt) < time.Second {
+		return
+	}
+	t.cleanedAt = now
+	for k, l := range t.losses {
+		if now.Sub(l.at) > evidenceTTL {
+			delete(t.losses, k)
+			t.unjudged = true
+		}
+	}
+	maps.DeleteFunc(t.soundAt, func(_ Trait, at time.Time) bool { return now.Sub(at) > reportTTL })
+	maps.DeleteFunc(t.cleared, func(_ Trait, at time.Time) bool { return now.Sub(at) > reportTTL })
+	maps.DeleteFunc(t.dismissed, func(x Trait, _ map[lossKey]bool) bool { _, sound := t.soundAt[x]; return !sound })
+	maps.DeleteFunc(t.clearDue, func(x Trait, _ time.Time) bool { _, sound := t.soundAt[x]; return !sound })
+	t.own = slices.DeleteFunc(t.own, func(s ownSuspicion) bool { return now.Sub(s.at) > reportTTL })
+	for key, s := range t.record {
+		if now.Sub(time.Unix(s.FoundAt, 0)) > signatureTTL {
+			delete(t.record, key)
+			t.unjudged = true
+		}
+	}
+}
--- a/flow/call.go
+++ b/flow/call.go
@@ -19,6 +19,8 @@
 	CallOptions struct {
 		// MayRetry takes one retry from the retry budget and reports whether there was one.
 		MayRetry func() bool
+		// MayRun reports whether the call may be sent to a replica, as in Options.
+		MayRun func() bool
 		// Idempotent allows the call to run more than once.
 		Idempotent bool
 		// MaxServers bounds the replicas on which the call may run; 0 means 1.
@@ -108,6 +110,12 @@
 }
 
 func (c *Call) send(reason string) []teaselstream.Cmd {
+	if c.MayRun != nil && !c.MayRun() {
+		if c.running > 0 {
+			return nil
+		}
+		return c.refuse(teaselstream.CodeCrashesServers, crashesServers)
+	}
 	c.attempts++
 	c.running++
 	return []teaselstream.Cmd{CallSend{c.attempts, reason}}
@@ -169,6 +177,9 @@
 func (c *Call) refuse(code teaselstream.Code, message string) []teaselstream.Cmd {
 	c.done = true
 	e := &teaselstream.Error{Code: code, Outcome: teaselstream.NotRun, Message: message, RetryAfter: retryAfterBusy}
+	if code == teaselstream.CodeCrashesServers {
+		e.RetryAfter = 0
+	}
 	if c.possiblyRan > 0 || c.running > 0 {
 		e.Outcome, e.RetryAfter = teaselstream.Unknown, 0
 	}
--- a/flow/call_test.go
+++ b/flow/call_test.go
@@ -15,12 +15,13 @@
 		var call *Call
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			if d.Cmd == "call" {
-				retries := 100
+				retries, harmful := 100, d.HasArg("harmful")
 				if d.HasArg("retries") {
 					d.ScanArgs(t, "retries", &retries)
 				}
 				call = &Call{CallOptions: CallOptions{
 					Idempotent: d.HasArg("idempotent"), MaxServers: 2,
+					MayRun:   func() bool { return !harmful },
 					MayRetry: func() bool { retries--; return retries >= 0 },
 				}}
 				return "ok"
--- a/flow/message.go
+++ b/flow/message.go
@@ -55,6 +55,9 @@
 	// ServersDown lists servers that have become unreachable.
 	ServersDown struct{ Servers []teaselstream.ServerID }
 
+	// Harmful reports that requests like this one crash servers.
+	Harmful struct{}
+
 	// TimedOut reports that the deadline for the complete answer has passed.
 	TimedOut struct{}
 
--- a/flow/retry.go
+++ b/flow/retry.go
@@ -97,11 +97,28 @@
 	}
 	e := &teaselstream.Error{Code: code, Outcome: teaselstream.NotRun, Message: message, RetryAfter: retryAfter}
 	if s.mayHaveRun {
-		e.Code, e.Outcome, e.RetryAfter = teaselstream.CodeServerLost, teaselstream.Unknown, 0
+		e.Outcome, e.RetryAfter = teaselstream.Unknown, 0
+		if code != teaselstream.CodeCrashesServers {
+			e.Code = teaselstream.CodeServerLost
+		}
 	}
 	return []teaselstream.Cmd{Finish{Refusal: e}}
 }
 
+// crashesServers is the message of a request that is refused because requests like it crash servers.
+const crashesServers = "requests with this content have crashed servers"
+
+// onHarmful takes a request whose answer has not begun off its server, where it may still wait to run.
+func (s *Stream) onHarmful() []teaselstream.Cmd {
+	if s.delivered {
+		return nil
+	}
+	if s.reopenAt.IsZero() {
+		s.markMayHaveRun()
+	}
+	return append([]teaselstream.Cmd{Abort{s.Attempt, crashesServers}}, s.fail(teaselstream.CodeCrashesServers, crashesServers, 0)...)
+}
+
 func (s *Stream) timeOut() []teaselstream.Cmd {
 	s.done = true
 	cmds := []teaselstream.Cmd{Abort{s.Attempt, "deadline exceeded"}}
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -74,6 +74,9 @@
 		// MayRetry takes one retry from the retry budget and reports whether there was one; begun is set if the caller already
 		// has a part of the answer.
 		MayRetry func(begun bool) bool
+		// MayRun reports whether the request may be sent to a server, because requests like it are not known to crash servers; nil
+		// always allows it.
+		MayRun func() bool
 		// Resumable allows the stream to continue at another server.
 		Resumable bool
 		// MaxServers bounds the number of servers that may run the request as the first of a path.
@@ -146,6 +149,8 @@
 		return s.onRepathed(now, m)
 	case ServersDown:
 		return s.onServersDown(now, m)
+	case Harmful:
+		return s.onHarmful()
 	case TimedOut:
 		return s.timeOut()
 	case CallerDisconnected:
@@ -164,6 +169,9 @@
 func (s *Stream) LastDelivered() uint64 { return s.lastEventID }
 
 func (s *Stream) open(now time.Time, reason string) []teaselstream.Cmd {
+	if s.MayRun != nil && !s.MayRun() {
+		return s.fail(teaselstream.CodeCrashesServers, crashesServers, 0)
+	}
 	path, stepTime, ok := s.Planner.Plan(now, s.avoid, "")
 	if !ok && len(s.avoid) > 0 {
 		// A server that refused earlier may accept now; only unreachable servers stay excluded.
--- a/flow/stream_test.go
+++ b/flow/stream_test.go
@@ -68,6 +68,7 @@
 	planner *scriptPlanner
 	stream  *Stream
 	retries int
+	harmful bool
 	// reserve is the part of retries that only requests with delivered events may use.
 	reserve int
 	start   time.Time
@@ -87,6 +88,8 @@
 	case "stream":
 		s.planner = &scriptPlanner{down: make(map[teaselstream.ServerID]bool)}
 		s.stream = &Stream{Options: Options{Planner: s.planner, MaxServers: 2, MayRetry: s.mayRetry, Resumable: !d.HasArg("once")}}
+		s.harmful = d.HasArg("harmful")
+		s.stream.MayRun = func() bool { return !s.harmful }
 		s.stream.Objective = 500 * time.Millisecond
 		if d.HasArg("wait") {
 			var wait string
@@ -200,6 +203,12 @@
 		return s.stream.MoveOff(now, teaselstream.ServerID(f[2]))
 	case "tick":
 		return s.stream.Update(now, teaselstream.Tick{})
+	case "harmful":
+		s.harmful = true
+		return s.stream.Update(now, Harmful{})
+	case "refused-now":
+		s.harmful = true
+		return nil
 	case "timeout":
 		return s.stream.Update(now, TimedOut{})
 	case "gone":
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -54,6 +54,7 @@
 		request: r, results: make(chan sendResult, resultBuffer), responses: make(map[int]sendResult), tried: make(map[teaselstream.ServerID]bool),
 	}
 	c.core.CallOptions = flow.CallOptions{
+		MayRun:     r.mayRun,
 		MayRetry:   func() bool { return r.handler.Budgets.ForService(r.pool.Service).Retry(time.Now()) },
 		Idempotent: r.route.Idempotent, MaxServers: r.route.MaxServers,
 	}
@@ -91,9 +92,15 @@
 		return flow.CallNoReplica{AttemptNumber: s.number}
 	case s.err != nil:
 		c.log("CallFailed", slog.LevelInfo, "server", string(s.member.ID), "error", s.err.Error(), "notSent", notSent(s.err))
+		if !notSent(s.err) {
+			go c.reportLoss(s.member, false)
+		}
 		return flow.CallFailed{AttemptNumber: s.number, NotSent: notSent(s.err), Reason: "not answered"}
 	default:
 		c.responses[s.number] = s
+		if !s.upstreamResponse.head.NotRun {
+			c.reportSound()
+		}
 		return flow.CallAnswered{AttemptNumber: s.number, Status: s.upstreamResponse.status, NotRun: s.upstreamResponse.head.NotRun}
 	}
 }
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -8,6 +8,7 @@
 	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/admit"
 	"github.com/teaselstream/teaselstream/chain"
+	"github.com/teaselstream/teaselstream/crash"
 	"github.com/teaselstream/teaselstream/fleet"
 	"github.com/teaselstream/teaselstream/meter"
 	"github.com/teaselstream/teaselstream/pick"
@@ -34,9 +35,12 @@
 		Log      *slog.Logger
 		// Post sends observations of a server to the control loop.
 		Post func(teaselstream.Msg)
+		// Quarantine returns what requests that crash servers have in common; nil refuses none.
+		Quarantine func() *crash.Quarantine
 
 		pool            Pool
 		prober          prober
+		endings         endings
 		streamDurations streamDurations
 	}
 
@@ -52,6 +56,8 @@
 		deadline        time.Time
 		class           *meter.Class
 		firstEventDelay time.Duration
+		// traits identify the request among those that crash servers.
+		traits []crash.Trait
 	}
 )
 
@@ -69,6 +75,7 @@
 		return
 	}
 	h.Budgets.Request(time.Now(), r.pool.Service)
+	r.traits = r.crashTraits()
 	if r.pool.Engine != nil {
 		r.stream()
 		return
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -39,9 +39,11 @@
 		events         int
 		// attemptEvents counts the events of the current attempt.
 		attemptEvents int
-		lastEventAt   time.Time
-		longestGap    time.Duration
-		moves         int
+		// first is the first server of the current attempt, as it was known when the attempt was opened.
+		first       fleet.Member
+		lastEventAt time.Time
+		longestGap  time.Duration
+		moves       int
 		// drainJitter in [0, 1) spreads the times at which streams leave the same draining server.
 		drainJitter float64
 	}
@@ -79,6 +81,7 @@
 			Service: r.pool.Service, PromptTokens: r.head.PromptTokens, AnswerTokens: expectedTokens,
 		}},
 		MayRetry:  r.mayRetry,
+		MayRun:    r.mayRun,
 		Resumable: r.route.Resumable || r.route.Idempotent, MaxServers: max(r.route.MaxServers, 1), LastEvent: r.head.LastEvent,
 		Objective: r.route.Objective,
 	}
@@ -153,26 +156,34 @@
 func (s *streamRunner) recordProgress(m teaselstream.Msg) {
 	switch m := m.(type) {
 	case flow.Event:
-		if m.Attempt == s.core.Attempt {
-			s.attemptEvents++
+		if m.Attempt != s.core.Attempt {
+			return
+		}
+		s.attemptEvents++
+		if s.attemptEvents == soundEvents {
+			s.reportSound()
 		}
 	case flow.Closed:
-		if m.Attempt == s.core.Attempt && !m.Complete && !m.NotSent {
-			s.logBroken(m)
+		switch {
+		case m.Attempt != s.core.Attempt || m.NotSent:
+		case m.Complete && s.attemptEvents < soundEvents:
+			s.reportSound()
+		case !m.Complete:
+			s.recordBroken(m)
 		}
 	}
 }
 
-// logBroken logs what ran on a server that broke off an answer, so that servers that end one after another can be traced to
-// what their requests have in common.
-func (s *streamRunner) logBroken(m flow.Closed) {
-	first := s.core.Path[0].Server
-	var incarnation teaselstream.Incarnation
-	if v := s.handler.View().Members[first]; v != nil {
-		incarnation = v.Incarnation
-	}
-	s.log("AttemptBroken", slog.LevelInfo, "attempt", m.Attempt, "server", string(first), "incarnation", uint64(incarnation),
-		"begun", s.responses[m.Attempt] != nil, "events", s.attemptEvents, "segments", s.head.Segments, "error", m.Reason)
+// recordBroken logs what ran on a server that broke off an answer, and reports the request if the server has ended before it
+// wrote an answer.
+func (s *streamRunner) recordBroken(m flow.Closed) {
+	begun := s.responses[m.Attempt] != nil
+	s.log("AttemptBroken", slog.LevelInfo, "attempt", m.Attempt, "server", string(s.core.Path[0].Server), "incarnation", uint64(s.first.Incarnation),
+		"begun", begun, "events", s.attemptEvents, "segments", s.head.Segments, "error", m.Reason)
+	if s.attemptEvents < soundEvents && s.first.ID != "" {
+		first := s.first
+		go s.reportLoss(&first, begun)
+	}
 }
 
 // recordLoad records the load that the first server of the path states in its response.
@@ -206,6 +217,9 @@
 		}
 	}
 	s.lastView = v
+	if s.attemptEvents == 0 && !s.mayRun() {
+		return append(cmds, s.core.Update(now, flow.Harmful{})...)
+	}
 	if len(lost) > 0 {
 		cmds = append(cmds, s.core.Update(now, flow.ServersDown{Servers: lost})...)
 	}
@@ -271,7 +285,10 @@
 	s.cancel()
 	s.reserve(c.Path)
 	ctx, cancel := context.WithDeadline(context.Background(), s.deadline)
-	s.cancel, s.attemptEvents = cancel, 0
+	s.cancel, s.attemptEvents, s.first = cancel, 0, fleet.Member{}
+	if m := s.handler.View().Members[c.Path[0].Server]; m != nil {
+		s.first = *m
+	}
 	if c.Attempt > 1 {
 		s.handler.Meter.Count(meter.Retry, 1)
 		s.log("RequestSentAgain", slog.LevelInfo, "attempt", c.Attempt, "reason", c.Reason, "server", string(c.Path[0].Server),
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/crash"
 	"github.com/teaselstream/teaselstream/fleet"
 )
 
@@ -152,10 +153,35 @@
 		}
 	case strings.HasPrefix(e.Key, vmPrefix):
 		return f.applyVM(e)
+	case strings.HasPrefix(e.Key, crashPrefix):
+		f.applyCrash(e)
 	}
 	return false
 }
 
+// applyCrash posts what the VMs report about requests that crash servers. Removed reports belong to VMs that ended; what they
+// said still holds.
+func (f *Follower) applyCrash(e teaselstream.Entry) {
+	if e.Deleted {
+		return
+	}
+	if e.Key == CrashRecordKey {
+		r, err := crash.DecodeRecord(e.Value)
+		if err != nil {
+			f.Log.Error("CrashRecordUnreadable", "revision", uint64(e.Revision), "error", err)
+			return
+		}
+		f.Post(crash.RecordRead{Record: r, Revision: e.Revision})
+		return
+	}
+	r, err := crash.DecodeReport(e.Value)
+	if err != nil {
+		f.Log.Warn("CrashReportUnreadable", "key", e.Key, "revision", uint64(e.Revision), "error", err)
+		return
+	}
+	f.Post(crash.ReportRead{Report: r})
+}
+
 func (f *Follower) applyRouting(e teaselstream.Entry) {
 	if e.Deleted {
 		f.Log.Warn("RoutingRemoved", "revision", uint64(e.Revision))
--- /dev/null
+++ b/watch/publish.go
@@ -0,0 +1,131 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+)
+
+const (
+	crashPrefix = "crash/"
+	// CrashRecordKey is the key of the signatures of requests that crash servers.
+	CrashRecordKey = crashPrefix + "record"
+	// CrashReportPrefix is the prefix of the keys of the VMs' reports about such requests, one for each VM.
+	CrashReportPrefix = crashPrefix + "vm/"
+	// publishTimeout limits a write; the platform specifies 4 ms, and 60 times that while the store is slow.
+	publishTimeout = time.Second
+	// maxPublishBackoff bounds the wait after a failed write. A report matters for some seconds.
+	maxPublishBackoff = 2 * time.Second
+)
+
+// Publisher writes the newest value of one key, of which this VM is the only writer, under the VM's lease.
+type Publisher struct {
+	Store teaselstream.Store
+	Key   string
+	// Lease returns the VM's lease, or 0 while it has none.
+	Lease func() teaselstream.LeaseID
+	Rand  teaselstream.Rand
+	Log   *slog.Logger
+
+	mu      sync.Mutex
+	pending []byte
+	changed chan struct{}
+	// revision is that of this VM's last write. Only Run uses it.
+	revision teaselstream.Revision
+}
+
+var errNoLease = errors.New("VM is not registered")
+
+// Publish sets the value to write, in place of one that is not written yet.
+func (p *Publisher) Publish(value []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pending = value
+	if p.changed != nil {
+		close(p.changed)
+		p.changed = nil
+	}
+}
+
+// Run writes values until ctx ends. A failed write is repeated after a backoff.
+func (p *Publisher) Run(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		value, ok := p.next(ctx)
+		if !ok {
+			return
+		}
+		if err := p.write(ctx, value); err != nil {
+			failures++
+			if failures == 1 {
+				p.Log.Warn("PublishFailed", "key", p.Key, "error", err)
+			}
+			p.restore(value)
+			sleep(ctx, teaselstream.Backoff(p.Rand, minBackoff, maxPublishBackoff, failures))
+			continue
+		}
+		failures = 0
+	}
+}
+
+// next waits for a value to write; ok is false if ctx ends before.
+func (p *Publisher) next(ctx context.Context) (value []byte, ok bool) {
+	for {
+		p.mu.Lock()
+		value, p.pending = p.pending, nil
+		if value != nil {
+			p.mu.Unlock()
+			return value, true
+		}
+		if p.changed == nil {
+			p.changed = make(chan struct{})
+		}
+		changed := p.changed
+		p.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+}
+
+// restore queues a value again that was not written, unless there is a newer one.
+func (p *Publisher) restore(value []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.pending == nil {
+		p.pending = value
+	}
+}
+
+func (p *Publisher) write(ctx context.Context, value []byte) error {
+	lease := p.Lease()
+	if lease == 0 {
+		return errNoLease
+	}
+	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	revision, err := p.Store.CompareAndSwap(ctx, p.Key, p.revision, value, lease)
+	if errors.Is(err, teaselstream.ErrConflict) {
+		// The key expired with an earlier lease, or a write whose answer was lost took effect.
+		p.revision = 0
+		switch old, getErr := p.Store.Get(ctx, p.Key); {
+		case getErr == nil:
+			p.revision = old.Revision
+		case !errors.Is(getErr, teaselstream.ErrNotFound):
+			return fmt.Errorf("read revision: %w", getErr)
+		}
+		revision, err = p.Store.CompareAndSwap(ctx, p.Key, p.revision, value, lease)
+	}
+	if err != nil {
+		return fmt.Errorf("write value: %w", err)
+	}
+	p.revision = revision
+	return nil
+}
--- a/watch/register.go
+++ b/watch/register.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/teaselstream/teaselstream"
@@ -30,8 +31,13 @@
 	Log       *slog.Logger
 
 	lease teaselstream.LeaseID
+	// current is the lease for other goroutines.
+	current atomic.Uint64
 }
 
+// Lease returns the lease of this VM's entry, or 0 while it has none. It may be called concurrently.
+func (r *Registrar) Lease() teaselstream.LeaseID { return teaselstream.LeaseID(r.current.Load()) }
+
 // Run keeps the entry until ctx ends; the entry then expires with its lease.
 func (r *Registrar) Run(ctx context.Context) {
 	failures := 0
@@ -58,6 +64,7 @@
 		}
 		r.Log.Warn("RegistrationLapsed", "lease", uint64(r.lease))
 		r.lease = 0
+		r.current.Store(0)
 	}
 	lease, err := r.Directory.Grant(ctx, leaseTTL)
 	if err != nil {
@@ -67,6 +74,7 @@
 		return fmt.Errorf("register VM: %w", err)
 	}
 	r.lease = lease
+	r.current.Store(uint64(lease))
 	r.Log.Info("Registered", "lease", uint64(lease))
 	return nil
 }
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -152,3 +153,69 @@
 		t.Errorf("store unavailable: error %v, %d leases, want the lease kept", err, s.granted)
 	}
 }
+
+// publishStore is a store with one key, whose first writes fail as scripted.
+type publishStore struct {
+	teaselstream.Store
+	mu       sync.Mutex
+	revision teaselstream.Revision
+	errs     []error
+	written  chan string
+}
+
+func (s *publishStore) Get(context.Context, string) (teaselstream.Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.revision == 0 {
+		return teaselstream.Record{}, teaselstream.ErrNotFound
+	}
+	return teaselstream.Record{Revision: s.revision}, nil
+}
+
+func (s *publishStore) CompareAndSwap(_ context.Context, _ string, expected teaselstream.Revision, value []byte, _ teaselstream.LeaseID) (teaselstream.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.errs) > 0 {
+		err := s.errs[0]
+		s.errs = s.errs[1:]
+		return 0, err
+	}
+	if expected != s.revision {
+		return 0, teaselstream.ErrConflict
+	}
+	s.revision++
+	s.written <- string(value)
+	return s.revision, nil
+}
+
+// Guards against a report that is not written because an earlier one of the VM is in the store or has expired with its lease,
+// because the VM is not registered yet, or because the store did not answer.
+func TestPublisher(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := &publishStore{revision: 5, written: make(chan string, 1), errs: []error{teaselstream.ErrUnavailable}}
+	var lease atomic.Uint64
+	p := &Publisher{
+		Store: s, Key: "k", Lease: func() teaselstream.LeaseID { return teaselstream.LeaseID(lease.Load()) },
+		Rand: rand.New(rand.NewPCG(1, 2)), Log: slog.New(slog.DiscardHandler),
+	}
+	go p.Run(ctx)
+	p.Publish([]byte("a"))
+	lease.Store(1)
+	for i, want := range []string{"a", "b", "c"} {
+		select {
+		case got := <-s.written:
+			if got != want {
+				t.Errorf("wrote %q, want %q", got, want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("%q is not written", want)
+		}
+		if i == 1 {
+			s.mu.Lock()
+			s.revision = 0
+			s.mu.Unlock()
+		}
+		p.Publish([]byte{want[0] + 1})
+	}
+}
