cover: servers that have ended do not count as unreachable

Cause: a VM that cannot reach more than half of a domain's servers assumes that it is cut off and gives no orders. Servers that have crashed stay in its view for 15 s and counted as unreachable.

Change: a server that refuses connections and whose entry the platform has removed has ended and does not count. A VM that is cut off from the servers sees their entries stay, since they still reach the store.

--- a/cover/cover_test.go
+++ b/cover/cover_test.go
@@ -103,7 +103,7 @@
 	return r
 }
 
-// change applies "down NAME", "ended NAME", "up NAME", "leaving NAME", "gone NAME", "done NAME", "failed NAME" or "new NAME KIND [FROM-TO]".
+// change applies "down NAME", "ended NAME", "removed NAME", "up NAME", "leaving NAME", "gone NAME", "done NAME", "failed NAME" or "new NAME KIND [FROM-TO]".
 func (s *coverScript) change(t *testing.T, f []string) {
 	id := teaselstream.ServerID(f[1])
 	m := s.view.Members[id]
@@ -112,6 +112,9 @@
 		m.State, m.DownSince = fleet.Down, s.now
 	case "ended":
 		m.State, m.DownSince, m.Ended = fleet.Down, s.now, true
+	case "removed":
+		// The server has ended, and its entry is gone from the platform's list.
+		m.State, m.DownSince, m.LeavingSince, m.Ended = fleet.Down, s.now, s.now, true
 	case "up":
 		m.State = fleet.Serving
 	case "leaving":
--- a/cover/survey.go
+++ b/cover/survey.go
@@ -23,8 +23,10 @@
 		live         []*fleet.Member
 		recentlyDown []*fleet.Member
 		leaving      []*fleet.Member
-		down         int
-		budget       budget
+		// down counts the servers that do not answer, without those that refuse connections and that the platform has removed:
+		// they have ended, which does not show that this VM is cut off.
+		down   int
+		budget budget
 		// planned counts the live holders of each layer once all pending orders are done.
 		planned []int
 		// ready counts the live holders of each layer as listed now.
@@ -44,7 +46,9 @@
 		}
 		switch m.State {
 		case fleet.Down:
-			s.down++
+			if m.LeavingSince.IsZero() || !m.Ended {
+				s.down++
+			}
 			if now.Sub(m.DownSince) < downGraceTime && m.LeavingSince.IsZero() && !m.Ended {
 				s.recentlyDown = append(s.recentlyDown, m)
 			}
