crash: servers that end together are no evidence; a wrong record is corrected

Cause: a cut link can refuse connections, so that a VM that is cut off takes all its servers for ended, and the segments that most requests share were on all of them. Its signature, written to the store after the cut, would be refused everywhere.

Change: losses of three servers within 50 ms, as one VM sees them, are not reported. A recorded signature whose traits are all answered elsewhere is revoked by the VMs that have seen the answers.

--- a/crash/fleet_test.go
+++ b/crash/fleet_test.go
@@ -57,6 +57,8 @@
 		repeated bool
 		// massCrash ends a sixth of the servers at the same time, before the harmful requests begin.
 		massCrash bool
+		// cut cuts the links of one VM to all servers, so that they seem to have ended, before the harmful requests begin.
+		cut bool
 		// restarts restarts a VM each second.
 		restarts bool
 	}
@@ -304,6 +306,21 @@
 	})
 }
 
+// cutVM makes all requests of a VM end as if their servers had.
+func (f *fleetRun) cutVM(i int) {
+	for _, s := range f.servers {
+		for id, r := range s.running {
+			if r.vm != f.vms[i] {
+				continue
+			}
+			delete(s.running, id)
+			f.update(i, r.life, Lost{
+				Request: teaselstream.AttemptID(fmt.Sprint(r.id)), Server: s.id, Incarnation: s.incarnation, Traits: r.traits, Begun: r.begun,
+			})
+		}
+	}
+}
+
 // refusedShare returns the share of the sound requests in a time span that were refused.
 func (f *fleetRun) refusedShare(from, to time.Time) float64 {
 	n, refused := 0, 0
@@ -328,6 +345,7 @@
 		"repeated":     {vms: 8, servers: 12, soundPerSecond: 80, harmfulPerSecond: 2, repeated: true},
 		"starting-vms": {vms: 8, servers: 12, soundPerSecond: 80, harmfulPerSecond: 2, restarts: true},
 		"mass-crash":   {vms: 8, servers: 24, soundPerSecond: 160, harmfulPerSecond: 2, massCrash: true},
+		"cut":          {vms: 8, servers: 24, soundPerSecond: 400, harmfulPerSecond: 2, cut: true},
 		"few-servers":  {vms: 8, servers: 5, soundPerSecond: 80, harmfulPerSecond: 3},
 		"large":        {vms: 295, servers: 100, soundPerSecond: 400, harmfulPerSecond: 5, massCrash: true},
 	} {
@@ -351,6 +369,13 @@
 			f.t.Errorf("%.3f of the sound requests were refused after servers ended for another reason", share)
 		}
 	}
+	if f.cut {
+		f.cutVM(0)
+		f.until(f.now.Add(4 * time.Second))
+		if share := f.refusedShare(f.start, f.now); share > 0 {
+			f.t.Errorf("%.3f of the sound requests were refused after a VM was cut off", share)
+		}
+	}
 	f.arrivals(f.harmfulPerSecond, f.sendHarmful)
 	if f.restarts {
 		var next func()
--- a/crash/record.go
+++ b/crash/record.go
@@ -46,6 +46,12 @@
 	return r, nil
 }
 
+// allSound reports whether servers have answered requests with each of the traits lately. A signature of such traits is wrong: the
+// VM that found it was cut off, or saw none of these answers.
+func (t *Tracker) allSound(traits []Trait) bool {
+	return !slices.ContainsFunc(traits, func(x Trait) bool { _, ok := t.soundAt[x]; return !ok })
+}
+
 func (t *Tracker) readRecord(now time.Time, m RecordRead) {
 	if m.Revision < t.recordRevision {
 		return
@@ -55,6 +61,9 @@
 	for _, s := range m.Record.Signatures {
 		if now.Sub(time.Unix(s.FoundAt, 0)) <= signatureTTL && len(s.Traits) > 0 {
 			t.record[s.key()] = s
+			if _, known := t.refused[s.key()]; !known && t.allSound(s.Traits) {
+				t.revoked[s.key()] = true
+			}
 		}
 	}
 	maps.DeleteFunc(t.revoked, func(key string, _ bool) bool { _, ok := t.record[key]; return !ok })
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -15,6 +15,11 @@
 	// soundWindow is how long before the end of a server an answer still shows that a trait is sound. It covers the traits of
 	// frequent requests, some of which are on every server at any time.
 	soundWindow = 2 * time.Second
+	// commonCauseWindow and commonCauseLosses tell servers that end for a common reason from those that end because of a
+	// request: so many at once have lost power, or this VM the links to them. A cut link may refuse connections like an ended
+	// server. All connections then break within some milliseconds, while requests that crash servers come one after the other.
+	commonCauseWindow = 50 * time.Millisecond
+	commonCauseLosses = 3
 	// evidenceTTL is how long the loss of a server is remembered.
 	evidenceTTL = 10 * time.Minute
 	// signatureTTL is how long a signature is refused. A fixed server version answers such requests again.
@@ -46,6 +51,8 @@
 		soundAt map[Trait]time.Time
 		// dismissed holds the losses of which a trait was not suspected because it is sound, while others may suspect it.
 		dismissed map[Trait]map[lossKey]bool
+		// recent holds the losses of this VM that may still have a common cause.
+		recent []ownSuspicion
 		// own holds the suspicions and cleared the clearances of this VM's report; clearDue holds when further ones are due.
 		own       []ownSuspicion
 		cleared   map[Trait]time.Time
@@ -85,6 +92,8 @@
 	ownSuspicion struct {
 		Suspicion
 		at time.Time
+		// settled reports that it was decided whether to suspect the request.
+		settled bool
 	}
 
 	foundSignature struct {
@@ -120,6 +129,7 @@
 	case teaselstream.Tick:
 		t.expire(now)
 	}
+	t.settle(now)
 	cmds := t.judge(now)
 	cmds = append(cmds, t.publish(now)...)
 	return append(cmds, t.writeRecord(now)...)
@@ -127,13 +137,42 @@
 
 func (t *Tracker) lost(now time.Time, m Lost) {
 	s := Suspicion{Request: m.Request, Server: m.Server, Incarnation: m.Incarnation, Traits: m.Traits, Begun: m.Begun}
-	if s.Traits = t.suspectTraits(now, s); len(s.Traits) == 0 {
-		return
+	t.recent = append(t.recent, ownSuspicion{Suspicion: s, at: now})
+}
+
+// settle suspects the requests on the servers whose end is commonCauseWindow ago, unless so many servers ended with them that
+// the cause lies elsewhere, for example in the network of this VM.
+func (t *Tracker) settle(now time.Time) {
+	for i := range t.recent {
+		s := &t.recent[i]
+		if s.settled || now.Sub(s.at) < commonCauseWindow {
+			continue
+		}
+		s.settled = true
+		if t.endedAround(s.at) >= commonCauseLosses {
+			continue
+		}
+		own := *s
+		if own.Traits = t.suspectTraits(s.at, s.Suspicion); len(own.Traits) == 0 {
+			continue
+		}
+		t.add(s.at, own.Suspicion)
+		t.own = append(t.own, own)
+		t.own = t.own[max(len(t.own)-maxReported, 0):]
+		t.unsent = true
+	}
+	t.recent = slices.DeleteFunc(t.recent, func(s ownSuspicion) bool { return now.Sub(s.at) >= 2*commonCauseWindow })
+}
+
+// endedAround returns the number of servers that ended within commonCauseWindow of a time, by the requests of this VM.
+func (t *Tracker) endedAround(at time.Time) int {
+	servers := make(map[lossKey]bool)
+	for _, s := range t.recent {
+		if s.at.Sub(at).Abs() < commonCauseWindow {
+			servers[lossKey{s.Server, s.Incarnation}] = true
+		}
 	}
-	t.add(now, s)
-	t.own = append(t.own, ownSuspicion{s, now})
-	t.own = t.own[max(len(t.own)-maxReported, 0):]
-	t.unsent = true
+	return len(servers)
 }
 
 // suspectTraits returns the traits of a request that no server has answered shortly before its server ended or since.
