--- a/cmd/gate/crash_test.go
+++ b/cmd/gate/crash_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -43,7 +44,7 @@
 // send sends a request to a gate, with a prompt of the given segments and a last one of its own.
 func (l *crashLoad) send(method, path, body string, segments ...string) callerResponse {
 	attempt := fmt.Sprintf("crash-%d", l.sent.Add(1))
-	q, err := http.NewRequest(method, "http://"+l.platform.gateAddresses[rand.IntN(len(l.platform.gateAddresses))]+path, bytes.NewReader([]byte(body)))
+	q, err := http.NewRequest(method, "http://"+l.gateAddress()+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return callerResponse{err: err, attempt: attempt}
 	}
@@ -77,6 +78,31 @@
 	})
 }
 
+// removeGate stops sending to a gate and then stops the gate.
+func (l *crashLoad) removeGate(i int) {
+	s := l.platform
+	l.mu.Lock()
+	stop := s.stopGates[i]
+	s.stopGates = slices.Delete(slices.Clone(s.stopGates), i, i+1)
+	s.gateAddresses = slices.Delete(slices.Clone(s.gateAddresses), i, i+1)
+	l.mu.Unlock()
+	stop()
+}
+
+// addGate starts a gate and sends to it from then on.
+func (l *crashLoad) addGate(t *testing.T, n int) {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.platform.startGate(t, n, l.platform.storeAddress)
+}
+
+func (l *crashLoad) gateAddress() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.platform.gateAddresses[rand.IntN(len(l.platform.gateAddresses))]
+}
+
 func (l *crashLoad) sendSound(path string, segments ...string) {
 	began := time.Now()
 	a := l.send(http.MethodGet, path, "", segments...)
--- a/cmd/gate/path_test.go
+++ b/cmd/gate/path_test.go
@@ -32,6 +32,7 @@
 	fleet         *plat.Fleet
 	modelReplicas []*plat.Replica
 	gateAddresses []string
+	storeAddress  string
 	stopGates     []func()
 	gateLog       requestLog
 }
@@ -77,6 +78,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	s.storeAddress = storeListener.Addr().String()
 	server := &http.Server{Handler: s.store, ReadHeaderTimeout: startTime}
 	go func() { _ = server.Serve(storeListener) }()
 	s.fleet = &plat.Fleet{Store: s.store, ModelService: "model", PlainService: "plain", Layers: testLayers}
--- a/cmd/stand/plat/replica.go
+++ b/cmd/stand/plat/replica.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -65,6 +66,10 @@
 		// killed replicas no longer write to the store.
 		killed  bool
 		running map[string]*stream
+		// limit is the number of requests a second that the replica names in its answers; 0 means none.
+		limit float64
+		// arrived holds when requests arrived at the replica as the first of their path.
+		arrived []time.Time
 	}
 
 	stream struct {
@@ -134,6 +139,21 @@
 	}
 }
 
+// ID returns the replica's id.
+func (r *Replica) ID() string { return r.id }
+
+// Replicas returns the replicas that run, sorted by id.
+func (f *Fleet) Replicas() []*Replica {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []*Replica
+	for _, r := range f.replicas {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b *Replica) int { return strings.Compare(a.id, b.id) })
+	return all
+}
+
 // Address returns the "IP:port" at which the replica is listed.
 func (r *Replica) Address() string { return r.address }
 
@@ -292,6 +312,23 @@
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
 	r.fleet.executions[q.Header.Get("X-Attempt-Id")]++
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrived = append(r.arrived, time.Now())
+}
+
+// SetLimit makes the replica name a limit of requests a second in its answers, or none if it is 0.
+func (r *Replica) SetLimit(perSecond float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limit = perSecond
+}
+
+// Arrivals returns when requests arrived at the replica as the first of their path.
+func (r *Replica) Arrivals() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]time.Time(nil), r.arrived...)
 }
 
 func (r *Replica) call(w http.ResponseWriter, q *http.Request) {
@@ -312,6 +349,11 @@
 	w.Header().Set("X-Attempt-Id", q.Header.Get("X-Attempt-Id"))
 	w.Header().Set("X-Replica-Stamp", "stamp-"+r.id)
 	w.Header().Set("X-Replica-Load", "1,0,64")
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(r.limit, 'f', 2, 64))
+	}
 }
 
 // blockedHop returns the address of the first hop of a path that cannot run the request, or "" if there is none.
--- a/replica.go
+++ b/replica.go
@@ -137,6 +137,9 @@
 		Running int
 		Waiting int
 		Slots   int
+		// Limit is the number of requests that the replica takes from all VMs together, if HasLimit is set.
+		HasLimit bool
+		Limit    RequestsPerSecond
 	}
 
 	// Dialect reads and writes the headers that a platform uses between callers, router and replicas.
