gate: keep to the limits that servers name

Cause: nothing read the limit.

Change: package quota. A VM that hears a limit from a server keeps to its part at once and reports the limit in the store, so that all VMs know it within about a second, and learn when it ends. Four fifths of a limit are divided among the VMs of the server's failure domain, the rest among others, among so few of them that each sends about one request a second or more; each may send one request at once. The bursts of all VMs then add up to the limit and one at most, also with 295 VMs and a limit of 4. A VM that is not registered has no part. Paths do not start at a server that takes no more; a request is held for a quarter of its objective, and otherwise refused as not run with the time until the next one. Calls to plain services avoid such replicas.

--- a/chain/chain.go
+++ b/chain/chain.go
@@ -42,6 +42,8 @@
 		AnswerTokens int
 		// Avoid holds servers that must not be used.
 		Avoid map[teaselstream.ServerID]bool
+		// MayStart reports whether a new request may be sent to a server as the first of its path; nil allows all.
+		MayStart func(id teaselstream.ServerID) bool
 		// First is the server that must run the first part, or empty for any.
 		First teaselstream.ServerID
 		// Within is the only failure domain that the path may use, or empty for all.
@@ -182,6 +184,9 @@
 	if first && s.request.First != "" && m.ID != s.request.First {
 		return
 	}
+	if first && s.request.First == "" && s.request.MayStart != nil && !s.request.MayStart(m.ID) {
+		return
+	}
 	end, _ := slices.BinarySearch(s.boundaries, m.Holds.To)
 	domain := slices.Index(s.domains, m.Domain)
 	cost := s.cost(m, teaselstream.LayerRange{From: s.boundaries[i], To: m.Holds.To})
--- a/cmd/gate/control.go
+++ b/cmd/gate/control.go
@@ -13,6 +13,7 @@
 	"github.com/teaselstream/teaselstream/crash"
 	"github.com/teaselstream/teaselstream/fleet"
 	"github.com/teaselstream/teaselstream/proxy"
+	"github.com/teaselstream/teaselstream/quota"
 	"github.com/teaselstream/teaselstream/watch"
 )
 
@@ -29,17 +30,19 @@
 		core    fleet.Core
 		decider cover.Decider
 		tracker crash.Tracker
+		quotas  quota.Tracker
 		vm      teaselstream.VMID
 		inbox   chan teaselstream.Msg
 		view    atomic.Pointer[fleet.View]
 		// quarantine holds what the requests that crash servers have in common.
 		quarantine atomic.Pointer[crash.Quarantine]
-		reports    *watch.Publisher
-		store      teaselstream.Store
-		handler    *proxy.Handler
-		onPublish  func(*fleet.View)
-		log        *slog.Logger
-		dropped    atomic.Int64
+		// crashReports and limitReports write this VM's reports.
+		crashReports, limitReports *watch.Publisher
+		store                      teaselstream.Store
+		handler                    *proxy.Handler
+		onPublish                  func(*fleet.View)
+		log                        *slog.Logger
+		dropped                    atomic.Int64
 	}
 
 	// globalRand is the global source of math/rand/v2, which is safe for concurrent use.
@@ -55,6 +58,7 @@
 func newControlLoop(settings config.GateSettings, log *slog.Logger) *controlLoop {
 	c := &controlLoop{
 		vm:      settings.VM.Name,
+		quotas:  quota.Tracker{VM: settings.VM.Name},
 		core:    fleet.Core{Domain: settings.VM.Domain},
 		decider: cover.Decider{VM: settings.VM.Name, Domain: settings.VM.Domain},
 		inbox:   make(chan teaselstream.Msg, inboxSize), log: log,
@@ -89,6 +93,7 @@
 		case now := <-t.C:
 			c.execute(c.core.Update(now, teaselstream.Tick{}))
 			c.execute(c.tracker.Update(now, teaselstream.Tick{}))
+			c.execute(c.quotas.Update(now, teaselstream.Tick{}))
 			c.execute(c.decider.Update(now, cover.ViewTick{View: c.current()}))
 			if n := c.dropped.Swap(0); n > 0 {
 				c.log.Warn("ControlMessagesDropped", "count", n)
@@ -104,6 +109,8 @@
 		c.decider.Update(now, m)
 	case crash.Lost, crash.Answered, crash.ReportRead, crash.RecordRead:
 		c.execute(c.tracker.Update(now, m))
+	case quota.Named, quota.ReportRead:
+		c.execute(c.quotas.Update(now, m))
 	case fleet.PeersListed:
 		c.execute(c.core.Update(now, m))
 		c.execute(c.tracker.Update(now, crash.Peers{Self: c.vm, VMs: peerNames(m.Peers)}))
@@ -126,14 +133,21 @@
 		case fleet.PublishView:
 			c.view.Store(x.View)
 			c.onPublish(x.View)
+			c.execute(c.quotas.Update(x.View.At, quota.ViewChanged{View: x.View}))
 		case fleet.LogEvent:
 			c.logEvent(x)
+		case quota.SetParts:
+			c.handler.Limits.Set(time.Now(), x.Parts)
+		case quota.PublishReport:
+			c.limitReports.Publish(x.Report)
+		case quota.LogLimit:
+			c.logLimit(x)
 		case crash.PublishQuarantine:
 			c.quarantine.Store(x.Quarantine)
 		case crash.LogSignature:
 			c.logSignature(x)
 		case crash.PublishReport:
-			c.publishReport(x.Report)
+			c.crashReports.Publish(x.Report)
 		case crash.WriteRecord:
 			go c.writeRecord(x)
 		case fleet.ReadReport:
--- a/cmd/gate/crash.go
+++ b/cmd/gate/report.go
@@ -2,36 +2,37 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/teaselstream/teaselstream/crash"
+	"github.com/teaselstream/teaselstream/quota"
 	"github.com/teaselstream/teaselstream/watch"
 )
 
 // recordTimeout limits a write of the signatures; the platform specifies 4 ms, and 60 times that while the store is slow.
 const recordTimeout = time.Second
 
-func (c *controlLoop) logSignature(x crash.LogSignature) {
-	if x.Found {
-		c.log.Warn("CrashSignatureFound", "traits", x.Signature.Traits, "servers", x.Servers)
+func (c *controlLoop) logLimit(x quota.LogLimit) {
+	if !x.HasLimit {
+		c.log.Info("ServerLimitEnded", "server", string(x.Server))
 		return
 	}
-	c.log.Info("CrashSignatureEnded", "traits", x.Signature.Traits)
+	c.log.Info("ServerLimit", "server", string(x.Server), "perSecond", float64(x.Part.Limit), "part", float64(x.Part.Rate))
 }
 
-func (c *controlLoop) publishReport(r crash.Report) {
-	b, err := crash.EncodeReport(r)
-	if err != nil {
-		c.log.Error("CrashReportNotWritten", "error", err)
+func (c *controlLoop) logSignature(x crash.LogSignature) {
+	if x.Found {
+		c.log.Warn("CrashSignatureFound", "traits", x.Signature.Traits, "servers", x.Servers)
 		return
 	}
-	c.reports.Publish(b)
+	c.log.Info("CrashSignatureEnded", "traits", x.Signature.Traits)
 }
 
 // writeRecord writes the signatures for VMs that start later. If it fails, the tracker tries again with the revision that it
 // has read by then.
 func (c *controlLoop) writeRecord(x crash.WriteRecord) {
-	b, err := crash.EncodeRecord(x.Record)
+	b, err := json.Marshal(x.Record)
 	if err == nil {
 		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 		defer cancel()
--- a/cmd/gate/serve.go
+++ b/cmd/gate/serve.go
@@ -85,9 +85,11 @@
 	registered, unregister := context.WithCancel(background)
 	defer unregister()
 	registrar := p.registrar()
-	p.controlLoop.reports.Lease = registrar.Lease
 	go registrar.Run(registered)
-	go p.controlLoop.reports.Run(background)
+	for _, reports := range []*watch.Publisher{p.controlLoop.crashReports, p.controlLoop.limitReports} {
+		reports.Lease = registrar.Lease
+		go reports.Run(background)
+	}
 	go p.controlLoop.run(background)
 	go p.follower().Run(background)
 	go p.reload(background)
@@ -117,9 +119,10 @@
 	}
 	p.controlLoop.handler = p.handler
 	p.controlLoop.store = p.store
-	p.controlLoop.reports = &watch.Publisher{
-		Store: p.store, Key: watch.CrashReportPrefix + string(settings.VM.Name), Rand: random, Log: p.log,
+	publisher := func(prefix string) *watch.Publisher {
+		return &watch.Publisher{Store: p.store, Key: prefix + string(settings.VM.Name), Rand: random, Log: p.log}
 	}
+	p.controlLoop.crashReports, p.controlLoop.limitReports = publisher(watch.CrashReportPrefix), publisher(watch.LimitReportPrefix)
 	p.controlLoop.onPublish = p.shareBudget
 	p.shared = &share.Directory{
 		Directory: p.store, Self: fleet.Peer{Name: settings.VM.Name, Domain: settings.VM.Domain, Address: settings.Listen.Peers},
--- a/crash/record.go
+++ b/crash/record.go
@@ -1,8 +1,6 @@
 package crash
 
 import (
-	"encoding/json"
-	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -10,42 +8,6 @@
 	"github.com/teaselstream/teaselstream"
 )
 
-// EncodeReport returns a report as it is stored.
-func EncodeReport(r Report) ([]byte, error) {
-	b, err := json.Marshal(r)
-	if err != nil {
-		return nil, fmt.Errorf("encode crash report: %w", err)
-	}
-	return b, nil
-}
-
-// DecodeReport returns a stored report.
-func DecodeReport(b []byte) (Report, error) {
-	var r Report
-	if err := json.Unmarshal(b, &r); err != nil {
-		return Report{}, fmt.Errorf("decode crash report: %w", err)
-	}
-	return r, nil
-}
-
-// EncodeRecord returns a record as it is stored.
-func EncodeRecord(r Record) ([]byte, error) {
-	b, err := json.Marshal(r)
-	if err != nil {
-		return nil, fmt.Errorf("encode crash record: %w", err)
-	}
-	return b, nil
-}
-
-// DecodeRecord returns a stored record.
-func DecodeRecord(b []byte) (Record, error) {
-	var r Record
-	if err := json.Unmarshal(b, &r); err != nil {
-		return Record{}, fmt.Errorf("decode crash record: %w", err)
-	}
-	return r, nil
-}
-
 // allSound reports whether servers have answered requests with each of the traits lately. A signature of such traits is wrong: the
 // VM that found it was cut off, or saw none of these answers.
 func (t *Tracker) allSound(traits []Trait) bool {
--- a/flow/retry.go
+++ b/flow/retry.go
@@ -105,6 +105,27 @@
 	return []teaselstream.Cmd{Finish{Refusal: e}}
 }
 
+// minLimitWait is the least time between two attempts to find a server that has named a limit and takes a request.
+const minLimitWait = 10 * time.Millisecond
+
+// waitForLimit holds the request until a server that has named a limit takes it, if that is soon, and otherwise refuses it. A
+// running stream waits as long as its caller does.
+func (s *Stream) waitForLimit(now time.Time, wait time.Duration) []teaselstream.Cmd {
+	if s.callerWaits(now) {
+		s.reopenAt = now.Add(replanInterval)
+		return nil
+	}
+	if s.limitedSince.IsZero() {
+		s.limitedSince = now
+	}
+	at := now.Add(max(wait, minLimitWait))
+	if wait >= 0 && at.Sub(s.limitedSince) <= time.Duration(limitHold*float64(s.Objective)) {
+		s.reopenAt = at
+		return nil
+	}
+	return s.fail(teaselstream.CodeOverloaded, "servers take no more requests for now", min(max(wait, minLimitRetry), maxRetryAfter))
+}
+
 // crashesServers is the message of a request that is refused because requests like it crash servers.
 const crashesServers = "requests with this content have crashed servers"
 
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -44,6 +44,12 @@
 	retryAfterOtherVM = 100 * time.Millisecond
 	// maxRetryAfter bounds the Retry-After that is derived from queue time.
 	maxRetryAfter = 3 * time.Second
+	// limitHold is the fraction of the objective for which a request is held until a server that has named a limit takes it. A
+	// longer wait would leave too little time for the first event.
+	limitHold = 0.25
+	// minLimitRetry is the least Retry-After of a request for which the limits of servers leave no room; other requests come
+	// meanwhile.
+	minLimitRetry = 250 * time.Millisecond
 	// retryAfterUncovered is the Retry-After while no path covers all layers; another server loads a lost range in about this
 	// time.
 	retryAfterUncovered = 2 * time.Second
@@ -57,6 +63,12 @@
 		Plan(now time.Time, avoid map[teaselstream.ServerID]bool, first teaselstream.ServerID) (teaselstream.Path, time.Duration, bool)
 		// Wait estimates how long the request would wait behind others on a path.
 		Wait(now time.Time, path teaselstream.Path) time.Duration
+		// Take uses up one request of the limit that a server has named, and reports whether there was one. Plan does not return
+		// paths that start at a server without one, unless first is set.
+		Take(now time.Time, first teaselstream.ServerID) bool
+		// LimitWait returns the time until a server takes the next request if the limits of servers are why there is no path; limited
+		// is false if they are not. A negative time means that this VM may send it none.
+		LimitWait(now time.Time, avoid map[teaselstream.ServerID]bool) (wait time.Duration, limited bool)
 		// HasRoom reports whether all servers of a path probably take the request now.
 		HasRoom(now time.Time, path teaselstream.Path) bool
 		// Down reports whether a server is known to be unreachable.
@@ -120,6 +132,8 @@
 		opened            bool
 		attemptMayHaveRun bool
 		reopenAt          time.Time
+		// limitedSince is when the request first waited for a server that has named a limit.
+		limitedSince time.Time
 		// retryUncharged reports that the next attempt has yet to be charged to the retry budget.
 		retryUncharged bool
 		done           bool
@@ -182,6 +196,11 @@
 		}
 		path, stepTime, ok = s.Planner.Plan(now, s.avoid, "")
 	}
+	if !ok {
+		if wait, limited := s.Planner.LimitWait(now, s.avoid); limited {
+			return s.waitForLimit(now, wait)
+		}
+	}
 	if !ok && s.callerWaits(now) {
 		// Another server may load the missing layers before the caller gives up on the next event.
 		s.reopenAt = now.Add(replanInterval)
@@ -195,6 +214,10 @@
 		// accepted, since most of its work is done.
 		return s.fail(teaselstream.CodeOverloaded, "servers have too many requests waiting", min(wait, maxRetryAfter))
 	}
+	if !s.Planner.Take(now, path[0].Server) {
+		// Another request has been faster.
+		return s.waitForLimit(now, 0)
+	}
 	s.Attempt++
 	s.attempts++
 	s.Path, s.stepTime = path, stepTime
--- a/flow/stream_test.go
+++ b/flow/stream_test.go
@@ -19,6 +19,9 @@
 	wait  time.Duration
 	// full holds the servers without room.
 	full map[teaselstream.ServerID]bool
+	// limits holds how many requests each server takes, or is nil if there are no limits; limitWait is the time until the next one.
+	limits    map[teaselstream.ServerID]int
+	limitWait time.Duration
 }
 
 func (p *scriptPlanner) Plan(_ time.Time, avoid map[teaselstream.ServerID]bool, first teaselstream.ServerID) (teaselstream.Path, time.Duration, bool) {
@@ -27,6 +30,9 @@
 		for _, x := range path {
 			ok = ok && !avoid[x.Server] && !p.down[x.Server]
 		}
+		if first == "" && p.limits != nil && p.limits[path[0].Server] <= 0 {
+			ok = false
+		}
 		if ok {
 			return path, 0, true
 		}
@@ -45,6 +51,18 @@
 	return true
 }
 
+func (p *scriptPlanner) Take(_ time.Time, first teaselstream.ServerID) bool {
+	if p.limits == nil {
+		return true
+	}
+	p.limits[first]--
+	return p.limits[first] >= 0
+}
+
+func (p *scriptPlanner) LimitWait(time.Time, map[teaselstream.ServerID]bool) (time.Duration, bool) {
+	return p.limitWait, p.limits != nil
+}
+
 func (p *scriptPlanner) Down(id teaselstream.ServerID) bool { return p.down[id] }
 
 // RemoteDomainServers treats servers whose names begin with the same capital letter as one failure domain.
@@ -96,6 +114,13 @@
 			d.ScanArgs(t, "wait", &wait)
 			s.planner.wait, _ = time.ParseDuration(wait)
 		}
+		if d.HasArg("limit") {
+			var limit, wait string
+			d.ScanArgs(t, "limit", &limit, &wait)
+			s.planner.limits = map[teaselstream.ServerID]int{}
+			s.planner.limits["a"] = int(numberOf(limit))
+			s.planner.limitWait, _ = time.ParseDuration(wait)
+		}
 		s.planner.full = make(map[teaselstream.ServerID]bool)
 		if d.HasArg("full") {
 			var full string
@@ -196,6 +221,9 @@
 	case "up":
 		delete(s.planner.down, teaselstream.ServerID(f[2]))
 		return nil
+	case "grant":
+		s.planner.limits[teaselstream.ServerID(f[2])]++
+		return nil
 	case "refill":
 		s.retries = int(numberOf(f[2]))
 		return nil
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -135,7 +135,7 @@
 	h := c.handler
 	now := time.Now()
 	v := h.View()
-	m := h.Balancer.Choose(now, v, c.pool.Service, c.tried)
+	m := h.chooseReplica(now, v, c.pool.Service, c.tried)
 	if m == nil {
 		c.results <- sendResult{number: x.AttemptNumber}
 		return
@@ -169,6 +169,9 @@
 // recordResult reports a send's result and the load in its response to the balancer.
 func (h *Handler) recordResult(ctx context.Context, s sendResult) {
 	now := time.Now()
+	if s.err == nil {
+		h.observeLimit(now.Add(-s.elapsed), s.member.ID, s.upstreamResponse.head)
+	}
 	result := pick.Succeeded
 	switch {
 	case s.err != nil && errors.Is(context.Cause(ctx), context.Canceled):
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -12,6 +12,7 @@
 	"github.com/teaselstream/teaselstream/fleet"
 	"github.com/teaselstream/teaselstream/meter"
 	"github.com/teaselstream/teaselstream/pick"
+	"github.com/teaselstream/teaselstream/quota"
 )
 
 const (
@@ -37,6 +38,8 @@
 		Post func(teaselstream.Msg)
 		// Quarantine returns what requests that crash servers have in common; nil refuses none.
 		Quarantine func() *crash.Quarantine
+		// Limits holds the requests that servers take, as far as they have named limits.
+		Limits quota.Limits
 
 		pool            Pool
 		prober          prober
--- /dev/null
+++ b/proxy/limit.go
@@ -0,0 +1,32 @@
+package proxy
+
+import (
+	"maps"
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/fleet"
+)
+
+// observeLimit passes on the limit that a server names in an answer to a request sent at the given time, or that it names none.
+func (h *Handler) observeLimit(sentAt time.Time, id teaselstream.ServerID, a teaselstream.AnswerHead) {
+	if m, ok := h.Limits.Observe(time.Now(), sentAt, id, a); ok {
+		h.Post(m)
+	}
+}
+
+// chooseReplica returns the replica for a call, and uses one request of its limit up if it has named one; it returns nil if there
+// is none that takes the call.
+func (h *Handler) chooseReplica(now time.Time, v *fleet.View, s teaselstream.ServiceID, tried map[teaselstream.ServerID]bool) *fleet.Member {
+	avoid := tried
+	for {
+		m := h.Balancer.Choose(now, v, s, avoid)
+		if m == nil || h.Limits.Take(now, m.ID) {
+			return m
+		}
+		if len(avoid) == len(tried) {
+			avoid = maps.Clone(tried)
+		}
+		avoid[m.ID] = true
+	}
+}
--- a/proxy/planner.go
+++ b/proxy/planner.go
@@ -10,9 +10,40 @@
 func (p *streamPlanner) Plan(now time.Time, avoid map[teaselstream.ServerID]bool, first teaselstream.ServerID) (teaselstream.Path, time.Duration, bool) {
 	pathRequest := p.pathRequest
 	pathRequest.Avoid, pathRequest.First = avoid, first
+	pathRequest.MayStart = func(id teaselstream.ServerID) bool { return p.request.handler.Limits.Ready(now, id) }
 	return p.request.handler.Planner.Plan(now, p.request.handler.View(), pathRequest)
 }
 
+func (p *streamPlanner) Take(now time.Time, first teaselstream.ServerID) bool {
+	return p.request.handler.Limits.Take(now, first)
+}
+
+func (p *streamPlanner) LimitWait(now time.Time, avoid map[teaselstream.ServerID]bool) (time.Duration, bool) {
+	h := p.request.handler
+	// soonest is the shortest wait of all servers at which a path could start.
+	soonest, limited := time.Duration(-1), false
+	for _, m := range h.View().Pools[p.pathRequest.Service] {
+		if !m.Holds.Contains(0) || avoid[m.ID] || m.State != fleet.Serving {
+			continue
+		}
+		wait, ok := h.Limits.Wait(now, m.ID)
+		if ok && wait <= 0 {
+			continue
+		}
+		limited = true
+		if ok && (soonest < 0 || wait < soonest) {
+			soonest = wait
+		}
+	}
+	if !limited {
+		return 0, false
+	}
+	pathRequest := p.pathRequest
+	pathRequest.Avoid = avoid
+	_, _, limited = h.Planner.Plan(now, h.View(), pathRequest)
+	return soonest, limited
+}
+
 func (p *streamPlanner) Wait(now time.Time, path teaselstream.Path) time.Duration {
 	m := p.request.handler.View().Members[path[0].Server]
 	if m == nil {
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -39,6 +39,8 @@
 		events         int
 		// attemptEvents counts the events of the current attempt.
 		attemptEvents int
+		// attemptAt is when the current attempt was opened.
+		attemptAt time.Time
 		// first is the first server of the current attempt, as it was known when the attempt was opened.
 		first       fleet.Member
 		lastEventAt time.Time
@@ -192,6 +194,9 @@
 		s.log("AttemptRefused", slog.LevelInfo, "attempt", o.Attempt, "status", o.Status, "server", string(s.core.Path[0].Server),
 			"fault", o.Answer.Fault, "running", o.Answer.Running, "waiting", o.Answer.Waiting)
 	}
+	if o.Attempt == s.core.Attempt {
+		s.handler.observeLimit(s.attemptAt, s.core.Path[0].Server, o.Answer)
+	}
 	if !o.Answer.HasLoad || o.Attempt != s.core.Attempt {
 		return
 	}
@@ -285,7 +290,7 @@
 	s.cancel()
 	s.reserve(c.Path)
 	ctx, cancel := context.WithDeadline(context.Background(), s.deadline)
-	s.cancel, s.attemptEvents, s.first = cancel, 0, fleet.Member{}
+	s.cancel, s.attemptEvents, s.attemptAt, s.first = cancel, 0, time.Now(), fleet.Member{}
 	if m := s.handler.View().Members[c.Path[0].Server]; m != nil {
 		s.first = *m
 	}
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -11,6 +11,7 @@
 	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/crash"
 	"github.com/teaselstream/teaselstream/fleet"
+	"github.com/teaselstream/teaselstream/quota"
 )
 
 const (
@@ -153,33 +154,40 @@
 		}
 	case strings.HasPrefix(e.Key, vmPrefix):
 		return f.applyVM(e)
-	case strings.HasPrefix(e.Key, crashPrefix):
-		f.applyCrash(e)
+	default:
+		f.applyReport(e)
 	}
 	return false
 }
 
-// applyCrash posts what the VMs report about requests that crash servers. Removed reports belong to VMs that ended; what they
-// said still holds.
-func (f *Follower) applyCrash(e teaselstream.Entry) {
+// applyReport posts what the VMs report about servers. Removed reports belong to VMs that ended; what they said still holds.
+func (f *Follower) applyReport(e teaselstream.Entry) {
 	if e.Deleted {
 		return
 	}
-	if e.Key == CrashRecordKey {
-		r, err := crash.DecodeRecord(e.Value)
-		if err != nil {
-			f.Log.Error("CrashRecordUnreadable", "revision", uint64(e.Revision), "error", err)
-			return
+	switch {
+	case e.Key == CrashRecordKey:
+		if r, ok := decode[crash.Record](f.Log, e); ok {
+			f.Post(crash.RecordRead{Record: r, Revision: e.Revision})
+		}
+	case strings.HasPrefix(e.Key, CrashReportPrefix):
+		if r, ok := decode[crash.Report](f.Log, e); ok {
+			f.Post(crash.ReportRead{Report: r})
+		}
+	case strings.HasPrefix(e.Key, LimitReportPrefix):
+		if r, ok := decode[quota.Report](f.Log, e); ok {
+			f.Post(quota.ReportRead{Report: r})
 		}
-		f.Post(crash.RecordRead{Record: r, Revision: e.Revision})
-		return
 	}
-	r, err := crash.DecodeReport(e.Value)
-	if err != nil {
-		f.Log.Warn("CrashReportUnreadable", "key", e.Key, "revision", uint64(e.Revision), "error", err)
-		return
+}
+
+// decode decodes an entry that a VM has written.
+func decode[T any](log *slog.Logger, e teaselstream.Entry) (value T, ok bool) {
+	if err := json.Unmarshal(e.Value, &value); err != nil {
+		log.Warn("ReportUnreadable", "key", e.Key, "revision", uint64(e.Revision), "error", err)
+		return value, false
 	}
-	f.Post(crash.ReportRead{Report: r})
+	return value, true
 }
 
 func (f *Follower) applyRouting(e teaselstream.Entry) {
--- a/watch/publish.go
+++ b/watch/publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -12,11 +13,12 @@
 )
 
 const (
-	crashPrefix = "crash/"
 	// CrashRecordKey is the key of the signatures of requests that crash servers.
-	CrashRecordKey = crashPrefix + "record"
+	CrashRecordKey = "crash/record"
 	// CrashReportPrefix is the prefix of the keys of the VMs' reports about such requests, one for each VM.
-	CrashReportPrefix = crashPrefix + "vm/"
+	CrashReportPrefix = "crash/vm/"
+	// LimitReportPrefix is the prefix of the keys of the VMs' reports about the limits of servers, one for each VM.
+	LimitReportPrefix = "limit/vm/"
 	// publishTimeout limits a write; the platform specifies 4 ms, and 60 times that while the store is slow.
 	publishTimeout = time.Second
 	// maxPublishBackoff bounds the wait after a failed write. A report matters for some seconds.
@@ -41,8 +43,13 @@
 
 var errNoLease = errors.New("VM is not registered")
 
-// Publish sets the value to write, in place of one that is not written yet.
-func (p *Publisher) Publish(value []byte) {
+// Publish sets the value to write, which is encoded as JSON, in place of one that is not written yet.
+func (p *Publisher) Publish(x any) {
+	value, err := json.Marshal(x)
+	if err != nil {
+		p.Log.Error("PublishFailed", "key", p.Key, "error", err)
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pending = value
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -200,12 +201,12 @@
 		Rand: rand.New(rand.NewPCG(1, 2)), Log: slog.New(slog.DiscardHandler),
 	}
 	go p.Run(ctx)
-	p.Publish([]byte("a"))
+	p.Publish("a")
 	lease.Store(1)
 	for i, want := range []string{"a", "b", "c"} {
 		select {
 		case got := <-s.written:
-			if got != want {
+			if got != strconv.Quote(want) {
 				t.Errorf("wrote %q, want %q", got, want)
 			}
 		case <-time.After(5 * time.Second):
@@ -216,6 +217,6 @@
 			s.revision = 0
 			s.mu.Unlock()
 		}
-		p.Publish([]byte{want[0] + 1})
+		p.Publish(string(want[0] + 1))
 	}
 }
