cover: another server takes the first layers when all that hold them have named limits

Cause: a domain often has one server with the first layers, so that its limit bounds the whole domain.

Change: if all servers with a domain's first layers have named limits, another one is extended to the first layers, or moves there if its own have other holders; the path goes on at any server, those with a limit included. When the limits end, surplus layers are given up as before.

--- a/cmd/gate/control.go
+++ b/cmd/gate/control.go
@@ -36,6 +36,8 @@
 		view    atomic.Pointer[fleet.View]
 		// quarantine holds what the requests that crash servers have in common.
 		quarantine atomic.Pointer[crash.Quarantine]
+		// limited holds the servers that have named a limit.
+		limited map[teaselstream.ServerID]bool
 		// crashReports and limitReports write this VM's reports.
 		crashReports, limitReports *watch.Publisher
 		store                      teaselstream.Store
@@ -94,7 +96,7 @@
 			c.execute(c.core.Update(now, teaselstream.Tick{}))
 			c.execute(c.tracker.Update(now, teaselstream.Tick{}))
 			c.execute(c.quotas.Update(now, teaselstream.Tick{}))
-			c.execute(c.decider.Update(now, cover.ViewTick{View: c.current()}))
+			c.execute(c.decider.Update(now, cover.ViewTick{View: c.current(), Limited: c.limited}))
 			if n := c.dropped.Swap(0); n > 0 {
 				c.log.Warn("ControlMessagesDropped", "count", n)
 			}
@@ -137,7 +139,7 @@
 		case fleet.LogEvent:
 			c.logEvent(x)
 		case quota.SetParts:
-			c.handler.Limits.Set(time.Now(), x.Parts)
+			c.setLimits(x.Parts)
 		case quota.PublishReport:
 			c.limitReports.Publish(x.Report)
 		case quota.LogLimit:
--- a/cmd/gate/report.go
+++ b/cmd/gate/report.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/crash"
 	"github.com/teaselstream/teaselstream/quota"
 	"github.com/teaselstream/teaselstream/watch"
@@ -13,6 +14,14 @@
 // recordTimeout limits a write of the signatures; the platform specifies 4 ms, and 60 times that while the store is slow.
 const recordTimeout = time.Second
 
+func (c *controlLoop) setLimits(parts map[teaselstream.ServerID]quota.Part) {
+	c.handler.Limits.Set(time.Now(), parts)
+	c.limited = make(map[teaselstream.ServerID]bool, len(parts))
+	for id := range parts {
+		c.limited[id] = true
+	}
+}
+
 func (c *controlLoop) logLimit(x quota.LogLimit) {
 	if !x.HasLimit {
 		c.log.Info("ServerLimitEnded", "server", string(x.Server))
--- a/cover/cover.go
+++ b/cover/cover.go
@@ -53,6 +53,8 @@
 		evaluations int
 		emptySince  map[teaselstream.ServerID]time.Time
 		domainSizes map[teaselstream.DomainID]domainSize
+		// limited holds the servers that have named a limit of requests.
+		limited map[teaselstream.ServerID]bool
 		// unregisteredSince holds since when no VM of a domain is registered.
 		unregisteredSince map[teaselstream.DomainID]time.Time
 	}
@@ -74,8 +76,11 @@
 		blockedUntil time.Time
 	}
 
-	// ViewTick is the clock tick; it holds the current view.
-	ViewTick struct{ View *fleet.View }
+	// ViewTick is the clock tick; it holds the current view and the servers that have named a limit of requests.
+	ViewTick struct {
+		View    *fleet.View
+		Limited map[teaselstream.ServerID]bool
+	}
 
 	// Ended reports that an order was carried out or failed.
 	Ended struct {
@@ -113,6 +118,7 @@
 	case Ended:
 		d.onEnded(now, m)
 	case ViewTick:
+		d.limited = m.Limited
 		return d.decide(now, m.View)
 	}
 	return nil
--- a/cover/cover_test.go
+++ b/cover/cover_test.go
@@ -21,6 +21,7 @@
 	view    *fleet.View
 	now     time.Time
 	orders  map[teaselstream.ServerID]Hold
+	limited map[teaselstream.ServerID]bool
 }
 
 // testEngine has 40 layers of 1 GB each and 1 MB of KV cache per token.
@@ -62,7 +63,7 @@
 
 func (s *coverScript) domain(d *datadriven.TestData) string {
 	s.decider = Decider{VM: "vm1", Domain: "zone"}
-	s.orders = make(map[teaselstream.ServerID]Hold)
+	s.orders, s.limited = make(map[teaselstream.ServerID]Hold), make(map[teaselstream.ServerID]bool)
 	peers := []fleet.Peer{{Name: "vm1", Domain: "zone"}}
 	for _, a := range d.CmdArgs {
 		if a.Key == "peer" {
@@ -103,7 +104,7 @@
 	return r
 }
 
-// change applies "down NAME", "ended NAME", "removed NAME", "up NAME", "leaving NAME", "gone NAME", "done NAME", "failed NAME" or "new NAME KIND [FROM-TO]".
+// change applies "down NAME", "ended NAME", "removed NAME", "limit NAME", "nolimit NAME", "up NAME", "leaving NAME", "gone NAME", "done NAME", "failed NAME" or "new NAME KIND [FROM-TO]".
 func (s *coverScript) change(t *testing.T, f []string) {
 	id := teaselstream.ServerID(f[1])
 	m := s.view.Members[id]
@@ -115,6 +116,10 @@
 	case "removed":
 		// The server has ended, and its entry is gone from the platform's list.
 		m.State, m.DownSince, m.LeavingSince, m.Ended = fleet.Down, s.now, s.now, true
+	case "limit":
+		s.limited[id] = true
+	case "nolimit":
+		delete(s.limited, id)
 	case "up":
 		m.State = fleet.Serving
 	case "leaving":
@@ -143,7 +148,7 @@
 	var out strings.Builder
 	begin := s.now
 	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(100 * time.Millisecond) {
-		for _, c := range s.decider.Update(s.now, ViewTick{s.view}) {
+		for _, c := range s.decider.Update(s.now, ViewTick{s.view, s.limited}) {
 			h := c.(Hold)
 			s.orders[h.Server] = h
 			e := testEngine()
--- a/cover/repair.go
+++ b/cover/repair.go
@@ -21,6 +21,9 @@
 	}
 	gap, ok := s.gap()
 	if !ok {
+		if h, ok := s.addFirst(); ok {
+			return h, true
+		}
 		return s.shrink()
 	}
 	if h, ok := s.extendNeighbour(gap, s.budget.tokens/takeoverDivisor); ok {
@@ -90,6 +93,44 @@
 	return newHold(best, bestRange, "take over lost layers"), true
 }
 
+// addFirst extends a server to the first layers if all servers that hold them have named a limit of requests: the limit counts
+// the requests that begin at a server, so that paths which begin at another one use the rest of the domain.
+func (s *domainState) addFirst() (Hold, bool) {
+	if len(s.limitedFirsts) == 0 || s.planned[0] > len(s.limitedFirsts) {
+		return Hold{}, false
+	}
+	var best *fleet.Member
+	var bestRange teaselstream.LayerRange
+	for _, m := range s.live {
+		if m.Holds.Empty() || m.Holds.From == 0 || !s.hasNoOrder(m) || s.decider.limited[m.ID] {
+			continue
+		}
+		r, ok := s.firstRange(m)
+		if ok && (best == nil || r.Len()-m.Holds.Len() < bestRange.Len()-best.Holds.Len()) {
+			best, bestRange = m, r
+		}
+	}
+	if best == nil {
+		return Hold{}, false
+	}
+	s.assign(best, bestRange)
+	return newHold(best, bestRange, "first servers have named limits"), true
+}
+
+// firstRange returns a range from the first layer on that a server can hold: its own, extended, or the first layers in place of its
+// own if these have other holders. Paths go on from there on any server, one with a limit included.
+func (s *domainState) firstRange(m *fleet.Member) (teaselstream.LayerRange, bool) {
+	if s.engine.CacheTokens(m.Accelerator, int(m.Holds.To)) >= s.budget.tokens/takeoverDivisor {
+		return teaselstream.LayerRange{To: m.Holds.To}, true
+	}
+	moved := teaselstream.LayerRange{To: teaselstream.Layer(s.normalLayers(m))}
+	// A range that is given up stays in memory until its requests are done.
+	if s.allSpare(m) && m.Holds.Len()+moved.Len() <= s.engine.MaxLayers(m.Accelerator, 0) {
+		return moved, true
+	}
+	return teaselstream.LayerRange{}, false
+}
+
 // spanOf returns the union of two adjacent or overlapping ranges.
 func spanOf(a, b teaselstream.LayerRange) teaselstream.LayerRange {
 	return teaselstream.LayerRange{From: min(a.From, b.From), To: max(a.To, b.To)}
--- a/cover/shrink.go
+++ b/cover/shrink.go
@@ -29,6 +29,13 @@
 }
 
 // surplus reports whether a layer has more ready holders than copies in the budget, and keeps them after pending orders.
+// Holders that have named a limit as first servers do not count.
 func (s *domainState) surplus(l teaselstream.Layer) bool {
-	return s.planned[l] > s.budget.copies && s.ready[l] > s.budget.copies
+	needed := s.budget.copies
+	for _, m := range s.limitedFirsts {
+		if m.Holds.Contains(l) {
+			needed++
+		}
+	}
+	return s.planned[l] > needed && s.ready[l] > needed
 }
--- a/cover/survey.go
+++ b/cover/survey.go
@@ -31,6 +31,8 @@
 		planned []int
 		// ready counts the live holders of each layer as listed now.
 		ready []int
+		// limitedFirsts lists the live servers with the first layers that have named a limit of requests.
+		limitedFirsts []*fleet.Member
 		// tokens is the KV-cache capacity of each layer's holders, in tokens, and meanTokens its mean over the layers.
 		tokens     []float64
 		meanTokens float64
@@ -59,6 +61,9 @@
 		}
 	}
 	for _, m := range s.live {
+		if m.Holds.Contains(0) && d.limited[m.ID] {
+			s.limitedFirsts = append(s.limitedFirsts, m)
+		}
 		s.addHolders(s.ready, m.Holds, 1)
 		s.addHolders(s.planned, s.plannedRange(m), 1)
 		if o := d.orders[m.ID]; o != nil && o.blockedUntil.IsZero() {
