--- a/crash/fleet_test.go
+++ b/crash/fleet_test.go
@@ -1,13 +1,13 @@
 package crash
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/vtime"
 )
 
 const (
@@ -29,11 +29,10 @@
 	// fleetRun is a simulated fleet in virtual time: VMs with a tracker each, servers, and a store that passes on reports late.
 	fleetRun struct {
 		fleetOptions
+		*vtime.Queue
 		t       *testing.T
 		rand    *rand.Rand
-		now     time.Time
 		start   time.Time
-		events  eventQueue
 		vms     []*fleetVM
 		servers []*fleetServer
 		reports map[int]Report
@@ -91,46 +90,17 @@
 		at      time.Time
 		refused bool
 	}
-
-	event struct {
-		at  time.Time
-		seq int
-		run func()
-	}
-
-	eventQueue []event
 )
 
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
-func (f *fleetRun) after(d time.Duration, run func()) {
+// number returns a number that no other request has.
+func (f *fleetRun) number() int {
 	f.requests++
-	heap.Push(&f.events, event{f.now.Add(d), f.requests, run})
-}
-
-func (f *fleetRun) until(end time.Time) {
-	for len(f.events) > 0 && f.events[0].at.Before(end) {
-		e := heap.Pop(&f.events).(event)
-		f.now = e.at
-		e.run()
-	}
-	f.now = end
+	return f.requests
 }
 
 func newFleetRun(t *testing.T, seed uint64, o fleetOptions) *fleetRun {
 	f := &fleetRun{fleetOptions: o, t: t, rand: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000, 0), reports: make(map[int]Report)}
-	f.now = f.start
+	f.Queue = vtime.NewQueue(f.start)
 	for i := range o.vms {
 		f.vms = append(f.vms, &fleetVM{id: teaselstream.VMID(fmt.Sprintf("vm%d", i))})
 	}
@@ -149,16 +119,16 @@
 	var next func()
 	next = func() {
 		send()
-		f.after(time.Duration(f.rand.ExpFloat64()/rate*float64(time.Second)), next)
+		f.After(time.Duration(f.rand.ExpFloat64()/rate*float64(time.Second)), next)
 	}
-	f.after(time.Duration(f.rand.Float64()/rate*float64(time.Second)), next)
+	f.After(time.Duration(f.rand.Float64()/rate*float64(time.Second)), next)
 }
 
 // startVM starts a VM, or restarts it without what it knew; it then reads what the store holds.
 func (f *fleetRun) startVM(i int) {
 	v := f.vms[i]
 	v.life++
-	v.startedAt = f.now
+	v.startedAt = f.Now()
 	v.tracker, v.quarantine = Tracker{}, nil
 	life := v.life
 	names := make([]teaselstream.VMID, len(f.vms))
@@ -167,7 +137,7 @@
 	}
 	f.update(i, life, Peers{Self: v.id, VMs: names})
 	delete(f.reports, i)
-	f.after(f.delay(), func() {
+	f.After(f.delay(), func() {
 		f.update(i, life, RecordRead{Record: f.record, Revision: f.revision})
 		for j := range f.vms {
 			if r, ok := f.reports[j]; ok {
@@ -179,10 +149,10 @@
 	tick = func() {
 		if v.life == life {
 			f.update(i, life, teaselstream.Tick{})
-			f.after(tickPeriod, tick)
+			f.After(tickPeriod, tick)
 		}
 	}
-	f.after(time.Duration(f.rand.Float64()*float64(tickPeriod)), tick)
+	f.After(time.Duration(f.rand.Float64()*float64(tickPeriod)), tick)
 }
 
 func (f *fleetRun) delay() time.Duration {
@@ -194,7 +164,7 @@
 	if v.life != life {
 		return
 	}
-	for _, c := range v.tracker.Update(f.now, m) {
+	for _, c := range v.tracker.Update(f.Now(), m) {
 		switch c := c.(type) {
 		case PublishQuarantine:
 			v.quarantine = c.Quarantine
@@ -202,7 +172,7 @@
 			f.reports[i] = c.Report
 			for j := range f.vms {
 				to := f.vms[j].life
-				f.after(f.delay(), func() { f.update(j, to, ReportRead(c)) })
+				f.After(f.delay(), func() { f.update(j, to, ReportRead(c)) })
 			}
 		case WriteRecord:
 			if c.Revision != f.revision {
@@ -213,7 +183,7 @@
 			read := RecordRead{Record: c.Record, Revision: f.revision}
 			for j := range f.vms {
 				to := f.vms[j].life
-				f.after(f.delay(), func() { f.update(j, to, read) })
+				f.After(f.delay(), func() { f.update(j, to, read) })
 			}
 		}
 	}
@@ -225,9 +195,9 @@
 }
 
 func (f *fleetRun) sendSound() {
-	id := f.requests
+	id := f.number()
 	refused := f.send(false, []Trait{Trait(fmt.Sprintf("%s%d", contentPrefix, id)), f.firstSegment()})
-	f.sound = append(f.sound, soundResult{f.now, refused})
+	f.sound = append(f.sound, soundResult{f.Now(), refused})
 }
 
 func (f *fleetRun) sendHarmful() {
@@ -235,7 +205,7 @@
 	if f.sharedFirst || f.repeated {
 		first = SegmentTrait("model", "f0")
 	}
-	content := Trait(fmt.Sprintf("%s%d", contentPrefix, f.requests))
+	content := Trait(fmt.Sprintf("%s%d", contentPrefix, f.number()))
 	if f.repeated {
 		f.send(true, []Trait{contentPrefix + "same", first})
 		return
@@ -260,25 +230,24 @@
 		return false
 	}
 	s := up[f.rand.IntN(len(up))]
-	f.requests++
-	r := &fleetRequest{id: f.requests, vm: v, life: v.life, traits: traits}
+	r := &fleetRequest{id: f.number(), vm: v, life: v.life, traits: traits}
 	s.running[r.id] = r
 	// A VM that has just started is not in touch with the others yet.
-	if harmful && (f.now.Sub(v.startedAt) >= contactTime || v.life == 1) {
-		f.harmfulAt = append(f.harmfulAt, f.now)
+	if harmful && (f.Now().Sub(v.startedAt) >= contactTime || v.life == 1) {
+		f.harmfulAt = append(f.harmfulAt, f.Now())
 	}
 	incarnation := s.incarnation
-	f.after(firstToken, func() {
+	f.After(firstToken, func() {
 		if s.incarnation != incarnation || s.down {
 			return
 		}
 		r.begun = true
 		if harmful {
-			f.crashes = append(f.crashes, f.now)
+			f.crashes = append(f.crashes, f.Now())
 			f.crash(s)
 		}
 	})
-	f.after(soundAfter, func() {
+	f.After(soundAfter, func() {
 		if s.incarnation == incarnation && !s.down {
 			r.sound = true
 			f.update(i, r.life, Answered{Traits: traits})
@@ -300,7 +269,7 @@
 		}
 	}
 	clear(s.running)
-	f.after(restart, func() {
+	f.After(restart, func() {
 		s.down = false
 		s.incarnation++
 	})
@@ -359,20 +328,20 @@
 }
 
 func (f *fleetRun) check() {
-	f.until(f.start.Add(4 * time.Second))
+	f.RunUntil(f.start.Add(4 * time.Second))
 	if f.massCrash {
 		for _, s := range f.servers[:len(f.servers)/6] {
 			f.crash(s)
 		}
-		f.until(f.start.Add(8 * time.Second))
-		if share := f.refusedShare(f.start, f.now); share > 0 {
+		f.RunUntil(f.start.Add(8 * time.Second))
+		if share := f.refusedShare(f.start, f.Now()); share > 0 {
 			f.t.Errorf("%.3f of the sound requests were refused after servers ended for another reason", share)
 		}
 	}
 	if f.cut {
 		f.cutVM(0)
-		f.until(f.now.Add(4 * time.Second))
-		if share := f.refusedShare(f.start, f.now); share > 0 {
+		f.RunUntil(f.Now().Add(4 * time.Second))
+		if share := f.refusedShare(f.start, f.Now()); share > 0 {
 			f.t.Errorf("%.3f of the sound requests were refused after a VM was cut off", share)
 		}
 	}
@@ -381,11 +350,11 @@
 		var next func()
 		next = func() {
 			f.startVM(f.rand.IntN(len(f.vms)))
-			f.after(time.Second, next)
+			f.After(time.Second, next)
 		}
-		f.after(0, next)
+		f.After(0, next)
 	}
-	f.until(f.now.Add(30 * time.Second))
+	f.RunUntil(f.Now().Add(30 * time.Second))
 	counted := 5
 	if f.repeated {
 		counted = 3
@@ -400,7 +369,7 @@
 	if late > 3 {
 		f.t.Errorf("%d harmful requests reached servers later than %s after the crash that counts, want at most 3; %d crashes", late, contactTime, len(f.crashes))
 	}
-	if share := f.refusedShare(last.Add(2*contactTime), f.now); share > 0.01 {
+	if share := f.refusedShare(last.Add(2*contactTime), f.Now()); share > 0.01 {
 		f.t.Errorf("%.3f of the sound requests were refused", share)
 	}
 	f.t.Logf("%d crashes, %d late", len(f.crashes), late)
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -10,6 +9,7 @@
 
 	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/fleet"
+	"github.com/teaselstream/teaselstream/vtime"
 )
 
 const (
@@ -45,13 +45,11 @@
 	// run is a fleet in virtual time.
 	run struct {
 		fleetOptions
+		*vtime.Queue
 		rand    *rand.Rand
 		start   time.Time
-		now     time.Time
 		vms     []*vm
 		servers []*server
-		pending messageQueue
-		sent    int
 	}
 
 	vm struct {
@@ -73,20 +71,11 @@
 		counted []time.Time
 		got     int
 	}
-
-	message struct {
-		at  time.Time
-		seq int
-		do  func()
-	}
-
-	// messageQueue is a heap ordered by time and then by order of insertion.
-	messageQueue []message
 )
 
 func newRun(seed uint64, o fleetOptions) *run {
 	r := &run{fleetOptions: o, rand: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000, 0)}
-	r.now = r.start
+	r.Queue = vtime.NewQueue(r.start)
 	for i := range o.vms {
 		r.addVM(i)
 	}
@@ -99,7 +88,7 @@
 
 func (r *run) addVM(i int) {
 	v := &vm{Peer: fleet.Peer{Name: teaselstream.VMID(fmt.Sprintf("vm%d", i)), Domain: teaselstream.DomainID(fmt.Sprint(i % r.domains))}}
-	v.restart(r.now)
+	v.restart(r.Now())
 	r.vms = append(r.vms, v)
 }
 
@@ -109,29 +98,11 @@
 	v.limits.Set(now, nil)
 }
 
-func (q messageQueue) Len() int { return len(q) }
-func (q messageQueue) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
-}
-func (q messageQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *messageQueue) Push(x any)   { *q = append(*q, x.(message)) }
-func (q *messageQueue) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
-func (r *run) later(d time.Duration, do func()) {
-	r.sent++
-	heap.Push(&r.pending, message{r.now.Add(d), r.sent, do})
-}
-
 // publishViews lets all VMs learn which VMs run, each after a delay of its own; a VM that has ended stays listed for leaseTime.
 func (r *run) publishViews() {
 	var peers []fleet.Peer
 	for _, v := range r.vms {
-		if v.up || r.now.Sub(v.downAt) < leaseTime {
+		if v.up || r.Now().Sub(v.downAt) < leaseTime {
 			peers = append(peers, v.Peer)
 		}
 	}
@@ -144,10 +115,10 @@
 	view := &fleet.View{Peers: peers, Members: members}
 	for _, v := range r.vms {
 		delay := time.Duration(r.rand.Float64() * float64(listDelay))
-		if r.now.Equal(r.start) {
+		if r.Now().Equal(r.start) {
 			delay = 0
 		}
-		r.later(delay, func() { r.update(v, ViewChanged{view}) })
+		r.After(delay, func() { r.update(v, ViewChanged{view}) })
 	}
 }
 
@@ -155,16 +126,16 @@
 	if !v.up {
 		return
 	}
-	for _, c := range v.tracker.Update(r.now, m) {
+	for _, c := range v.tracker.Update(r.Now(), m) {
 		switch c := c.(type) {
 		case SetParts:
-			v.limits.Set(r.now, c.Parts)
+			v.limits.Set(r.Now(), c.Parts)
 		case PublishReport:
 			for _, to := range r.vms {
 				if r.cut && to.Domain != v.Domain && (to.Domain == "0" || v.Domain == "0") && r.since(5) && !r.since(15) {
 					continue
 				}
-				r.later(time.Duration(r.rand.Float64()*float64(maxDelay)), func() { r.update(to, ReportRead(c)) })
+				r.After(time.Duration(r.rand.Float64()*float64(maxDelay)), func() { r.update(to, ReportRead(c)) })
 			}
 		}
 	}
@@ -172,7 +143,7 @@
 
 // since reports whether the given number of seconds has passed.
 func (r *run) since(seconds int) bool {
-	return r.now.Sub(r.start) >= time.Duration(seconds)*time.Second
+	return r.Now().Sub(r.start) >= time.Duration(seconds)*time.Second
 }
 
 // limited reports whether a server names a limit now; the last servers never do.
@@ -185,7 +156,7 @@
 	var ready []*server
 	for _, near := range []bool{true, false} {
 		for _, s := range r.servers {
-			if (s.domain == v.Domain) == near && v.limits.Ready(r.now, s.id) {
+			if (s.domain == v.Domain) == near && v.limits.Ready(r.Now(), s.id) {
 				ready = append(ready, s)
 			}
 		}
@@ -197,15 +168,15 @@
 		return
 	}
 	s := ready[r.rand.IntN(len(ready))]
-	if !v.limits.Take(r.now, s.id) {
+	if !v.limits.Take(r.Now(), s.id) {
 		return
 	}
 	s.got++
-	if told, ok := v.toldAt[s.id]; ok && r.now.Sub(told) >= tellTime && r.limited(s) && r.now.Sub(s.namedAt) >= contactTime && r.now.Sub(v.upAt) >= contactTime {
-		s.counted = append(s.counted, r.now)
+	if told, ok := v.toldAt[s.id]; ok && r.Now().Sub(told) >= tellTime && r.limited(s) && r.Now().Sub(s.namedAt) >= contactTime && r.Now().Sub(v.upAt) >= contactTime {
+		s.counted = append(s.counted, r.Now())
 	}
-	sentAt, life := r.now, v.upAt
-	r.later(answerTime, func() {
+	sentAt, life := r.Now(), v.upAt
+	r.After(answerTime, func() {
 		if !v.up || v.upAt != life {
 			return
 		}
@@ -213,13 +184,13 @@
 		if a.HasLimit {
 			a.Limit = r.limit
 			if s.namedAt.IsZero() {
-				s.namedAt = r.now
+				s.namedAt = r.Now()
 			}
 			if _, ok := v.toldAt[s.id]; !ok {
-				v.toldAt[s.id] = r.now
+				v.toldAt[s.id] = r.Now()
 			}
 		}
-		if m, ok := v.limits.Observe(r.now, sentAt, s.id, a); ok {
+		if m, ok := v.limits.Observe(r.Now(), sentAt, s.id, a); ok {
 			r.update(v, m)
 		}
 	})
@@ -227,21 +198,18 @@
 
 func (r *run) restartOne() {
 	v := r.vms[r.rand.IntN(len(r.vms))]
-	v.up, v.downAt = false, r.now
+	v.up, v.downAt = false, r.Now()
 	r.publishViews()
-	r.later(time.Second, func() {
-		v.restart(r.now)
+	r.After(time.Second, func() {
+		v.restart(r.Now())
 		r.publishViews()
 	})
-	r.later(leaseTime, r.publishViews)
+	r.After(leaseTime, r.publishViews)
 }
 
 func (r *run) step() {
-	r.now = r.now.Add(stepTime)
-	for len(r.pending) > 0 && !r.pending[0].at.After(r.now) {
-		heap.Pop(&r.pending).(message).do()
-	}
-	elapsed := r.now.Sub(r.start)
+	r.RunUntil(r.Now().Add(stepTime))
+	elapsed := r.Now().Sub(r.start)
 	if elapsed%(100*time.Millisecond) == 0 {
 		for _, v := range r.vms {
 			r.update(v, teaselstream.Tick{})
