--- /dev/null
+++ b/notice/notices.go
@@ -0,0 +1,95 @@
+package notice
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+)
+
+const (
+	// keepTime is how long the notice of a server is kept after its last answer. Servers serve for some seconds after they have
+	// begun to leave, and their entries in the platform's list may be as old as its oldest copy.
+	keepTime = 10 * time.Minute
+	// sweepInterval is the least time between two searches for notices to drop.
+	sweepInterval = time.Minute
+)
+
+type (
+	// Notices holds what servers have said. The zero value holds nothing. It is safe for concurrent use.
+	Notices struct {
+		// any is set once a server has said anything, so that most requests take no lock.
+		any     atomic.Bool
+		mu      sync.Mutex
+		servers map[teaselstream.ServerID]*statement
+		sweptAt time.Time
+	}
+
+	// statement is what one incarnation of a server has said.
+	statement struct {
+		incarnation  teaselstream.Incarnation
+		leavingSince time.Time
+		heardAt      time.Time
+	}
+)
+
+// ObserveLeaving records that an answer of a server said that it leaves, and reports whether this is news.
+func (n *Notices) ObserveLeaving(now time.Time, id teaselstream.ServerID, incarnation teaselstream.Incarnation) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.statement(now, id, incarnation)
+	if s == nil {
+		return false
+	}
+	if !s.leavingSince.IsZero() {
+		return false
+	}
+	s.leavingSince = now
+	return true
+}
+
+// LeavingSince returns when an answer of a server first said that it leaves, or the zero time.
+func (n *Notices) LeavingSince(id teaselstream.ServerID, incarnation teaselstream.Incarnation) time.Time {
+	if !n.any.Load() {
+		return time.Time{}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if s := n.servers[id]; s != nil && s.incarnation >= incarnation {
+		return s.leavingSince
+	}
+	return time.Time{}
+}
+
+// statement returns the statement of an incarnation of a server to change, or nil if a later incarnation has made one. The caller
+// holds the lock.
+func (n *Notices) statement(now time.Time, id teaselstream.ServerID, incarnation teaselstream.Incarnation) *statement {
+	if n.servers == nil {
+		n.servers = make(map[teaselstream.ServerID]*statement)
+	}
+	n.any.Store(true)
+	n.sweep(now)
+	s := n.servers[id]
+	switch {
+	case s == nil || s.incarnation < incarnation:
+		s = &statement{incarnation: incarnation}
+		n.servers[id] = s
+	case s.incarnation > incarnation:
+		return nil
+	}
+	s.heardAt = now
+	return s
+}
+
+func (n *Notices) sweep(now time.Time) {
+	if now.Sub(n.sweptAt) < sweepInterval {
+		return
+	}
+	n.sweptAt = now
+	for id, s := range n.servers {
+		if now.Sub(s.heardAt) > keepTime {
+			delete(n.servers, id)
+		}
+	}
+}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/fleet"
 )
 
 const (
@@ -49,11 +50,13 @@
 
 // send writes a request to a server and reads the status and header of its response.
 // The connection closes when ctx ends. An error wraps errDial if nothing was sent.
-func (h *Handler) send(ctx context.Context, address string, fresh bool, m *outgoingRequest, id teaselstream.AttemptID) (*upstreamResponse, error) {
-	u, err := h.pool.get(ctx, address, fresh)
+func (h *Handler) send(ctx context.Context, to *fleet.Member, fresh bool, m *outgoingRequest, id teaselstream.AttemptID) (*upstreamResponse, error) {
+	planned := time.Now()
+	u, err := h.pool.get(ctx, to.Address, fresh)
 	if err != nil {
 		return nil, err
 	}
+	h.logLeaving(planned, to, id)
 	stop := context.AfterFunc(ctx, u.discard)
 	a, err := h.roundTrip(u, m, id)
 	if err != nil {
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -97,6 +97,7 @@
 		}
 		return flow.CallFailed{AttemptNumber: s.number, NotSent: notSent(s.err), Reason: "not answered"}
 	default:
+		c.observeNotice(s.member.ID, s.member.Incarnation, s.upstreamResponse.head)
 		c.responses[s.number] = s
 		if !s.upstreamResponse.head.NotRun {
 			c.reportSound()
@@ -156,7 +157,7 @@
 	go func() {
 		defer m.LoadEstimate.OwnRequests.Add(-1)
 		s := sendResult{number: x.AttemptNumber, member: m}
-		s.upstreamResponse, s.err = h.send(ctx, m.Address, fresh, msg, c.head.Attempt)
+		s.upstreamResponse, s.err = h.send(ctx, m, fresh, msg, c.head.Attempt)
 		if s.err == nil {
 			s.body, s.err = s.upstreamResponse.readAll(&h.pool)
 		}
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -11,6 +11,7 @@
 	"github.com/teaselstream/teaselstream/crash"
 	"github.com/teaselstream/teaselstream/fleet"
 	"github.com/teaselstream/teaselstream/meter"
+	"github.com/teaselstream/teaselstream/notice"
 	"github.com/teaselstream/teaselstream/pick"
 	"github.com/teaselstream/teaselstream/quota"
 )
@@ -40,6 +41,8 @@
 		Quarantine func() *crash.Quarantine
 		// Limits holds the requests that servers take, as far as they have named limits.
 		Limits quota.Limits
+		// Notices holds what servers have said about themselves.
+		Notices notice.Notices
 
 		pool            Pool
 		prober          prober
--- /dev/null
+++ b/proxy/notice.go
@@ -0,0 +1,32 @@
+package proxy
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/fleet"
+)
+
+// observeNotice records what a server says about itself in an answer to the request.
+func (r *request) observeNotice(id teaselstream.ServerID, incarnation teaselstream.Incarnation, a teaselstream.AnswerHead) {
+	if a.Leaving && r.handler.Notices.ObserveLeaving(time.Now(), id, incarnation) {
+		r.log("LeavingStated", slog.LevelInfo, "server", string(id), "incarnation", uint64(incarnation))
+	}
+}
+
+// logLeaving logs a request that is sent to a server that is shutting down. That is allowed for the time that the platform states.
+func (h *Handler) logLeaving(planned time.Time, to *fleet.Member, id teaselstream.AttemptID) {
+	now := time.Now()
+	args := []any{"request", string(id), "server", string(to.ID), "incarnation", uint64(to.Incarnation), "sincePlanMs", now.Sub(planned).Milliseconds()}
+	said := h.Notices.LeavingSince(to.ID, to.Incarnation)
+	if m := h.View().Members[to.ID]; m != nil && !m.LeavingSince.IsZero() {
+		args = append(args, "sinceListedMs", now.Sub(m.LeavingSince).Milliseconds())
+	} else if said.IsZero() {
+		return
+	}
+	if !said.IsZero() {
+		args = append(args, "sinceStatedMs", now.Sub(said).Milliseconds())
+	}
+	h.Log.Info("SentToLeaving", args...)
+}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -182,7 +182,7 @@
 	begun := s.responses[m.Attempt] != nil
 	s.log("AttemptBroken", slog.LevelInfo, "attempt", m.Attempt, "server", string(s.core.Path[0].Server), "incarnation", uint64(s.first.Incarnation),
 		"begun", begun, "events", s.attemptEvents, "segments", s.head.Segments, "error", m.Reason)
-	if s.attemptEvents < soundEvents && s.first.ID != "" {
+	if s.attemptEvents < soundEvents && s.first.Service != "" {
 		first := s.first
 		go s.reportLoss(&first, begun)
 	}
@@ -195,6 +195,7 @@
 			"fault", o.Answer.Fault, "running", o.Answer.Running, "waiting", o.Answer.Waiting)
 	}
 	if o.Attempt == s.core.Attempt {
+		s.observeNotice(s.first.ID, s.first.Incarnation, o.Answer)
 		s.handler.observeLimit(s.attemptAt, s.core.Path[0].Server, o.Answer)
 	}
 	if !o.Answer.HasLoad || o.Attempt != s.core.Attempt {
@@ -290,7 +291,9 @@
 	s.cancel()
 	s.reserve(c.Path)
 	ctx, cancel := context.WithDeadline(context.Background(), s.deadline)
-	s.cancel, s.attemptEvents, s.attemptAt, s.first = cancel, 0, time.Now(), fleet.Member{}
+	s.cancel, s.attemptEvents, s.attemptAt = cancel, 0, time.Now()
+	// A server that has left the view since the path was planned is known by its place in the path only.
+	s.first = fleet.Member{Replica: teaselstream.Replica{ID: c.Path[0].Server, Address: c.Path[0].Address}}
 	if m := s.handler.View().Members[c.Path[0].Server]; m != nil {
 		s.first = *m
 	}
@@ -304,7 +307,8 @@
 		Team: s.caller.Team, Server: c.Path[0].Server, TimeLeft: s.timeLeft(time.Now()), Path: c.Path, LastEvent: c.LastEvent,
 	})
 	m := &outgoingRequest{method: s.Method, target: s.Target, host: s.Host, header: header, body: s.Body}
-	go s.runAttempt(ctx, c, m)
+	first := s.first
+	go s.runAttempt(ctx, c, &first, m)
 }
 
 func errorText(err error) string {
--- a/proxy/upstream_test.go
+++ b/proxy/upstream_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/fleet"
 )
 
 // testDialect decodes only the attempt id.
@@ -75,9 +76,11 @@
 
 func sendAndRead(t *testing.T, h *Handler, address string) (string, error) {
 	t.Helper()
+	h.View = func() *fleet.View { return &fleet.View{} }
+	to := &fleet.Member{Replica: teaselstream.Replica{Address: address}}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	a, err := h.send(ctx, address, false, &outgoingRequest{method: "GET", target: "/", host: "h", header: http.Header{}}, "me")
+	a, err := h.send(ctx, to, false, &outgoingRequest{method: "GET", target: "/", host: "h", header: http.Header{}}, "me")
 	if err != nil {
 		return "", err
 	}
--- a/replica.go
+++ b/replica.go
@@ -140,6 +140,8 @@
 		// Limit is the number of requests that the replica takes from all VMs together, if HasLimit is set.
 		HasLimit bool
 		Limit    RequestsPerSecond
+		// Leaving reports that the replica is shutting down.
+		Leaving bool
 	}
 
 	// Dialect reads and writes the headers that a platform uses between callers, router and replicas.
