--- a/cmd/gate/load_test.go
+++ b/cmd/gate/load_test.go
@@ -28,15 +28,15 @@
 type soundRequest struct {
 	at       time.Time
 	answered bool
-	attempt  string
+	callerResponse
 }
 
 // send sends a request to a gate, with a prompt of the given segments and a last one of its own.
 func (l *gateLoad) send(method, path, body string, segments ...string) callerResponse {
-	attempt := fmt.Sprintf("load-%d", l.sent.Add(1))
-	q, err := http.NewRequest(method, "http://"+l.gateAddress()+path, bytes.NewReader([]byte(body)))
+	attempt, gate := fmt.Sprintf("load-%d", l.sent.Add(1)), l.gateAddress()
+	q, err := http.NewRequest(method, "http://"+gate+path, bytes.NewReader([]byte(body)))
 	if err != nil {
-		return callerResponse{err: err, attempt: attempt}
+		return callerResponse{err: err, attempt: attempt, gate: gate}
 	}
 	q.Host = "test.example"
 	plat.SetRequestHeaders(q.Header, attempt, testKey, 4*time.Second)
@@ -45,11 +45,14 @@
 	}
 	p, err := http.DefaultTransport.(*http.Transport).Clone().RoundTrip(q)
 	if err != nil {
-		return callerResponse{err: err, attempt: attempt}
+		return callerResponse{err: err, attempt: attempt, gate: gate}
 	}
+	headAt := time.Now()
 	defer func() { _ = p.Body.Close() }()
 	b, err := io.ReadAll(p.Body)
-	return callerResponse{status: p.StatusCode, header: p.Header, body: string(b), complete: err == nil, err: err, attempt: attempt}
+	return callerResponse{
+		status: p.StatusCode, header: p.Header, body: string(b), complete: err == nil, err: err, attempt: attempt, gate: gate, headAt: headAt,
+	}
 }
 
 // every calls f in its own goroutine once a period until the load stops.
@@ -98,7 +101,7 @@
 	a := l.send(http.MethodGet, path, "", segments...)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.sound = append(l.sound, soundRequest{began, a.status == http.StatusOK && a.complete, a.attempt})
+	l.sound = append(l.sound, soundRequest{began, a.status == http.StatusOK && a.complete, a})
 }
 
 // answered returns the share of the sound requests that were sent in a time span and answered, and their number.
--- a/cmd/gate/path_test.go
+++ b/cmd/gate/path_test.go
@@ -163,6 +163,9 @@
 	complete bool
 	err      error
 	attempt  string
+	// gate is the address of the gate, and headAt when the head of the response arrived; only requests of gateLoad have them.
+	gate   string
+	headAt time.Time
 }
 
 // get sends a GET request with the test key to a gate; do sends any method and key.
--- a/cmd/stand/plat/caller.go
+++ b/cmd/stand/plat/caller.go
@@ -35,6 +35,9 @@
 	return stamp[len(prefix):]
 }
 
+// SaysLeaving reports whether the replica that generated a response says that it leaves.
+func SaysLeaving(h http.Header) bool { return h.Get("Server-Leaving") == "1" }
+
 // Configure writes a configuration to the store as the operator does; see Config.
 func (f *Fleet) Configure(version int, keys ...string) {
 	f.Store.Put("op/config", f.Config(version, keys...))
--- a/cmd/stand/plat/replica.go
+++ b/cmd/stand/plat/replica.go
@@ -62,14 +62,24 @@
 		appliedOrders uint64
 		busy          bool
 		unresponsive  bool
-		draining      bool
+		// draining replicas say so in their answers, and in their entry unless silent is set.
+		draining bool
+		silent   bool
 		// killed replicas no longer write to the store.
 		killed  bool
 		running map[string]*stream
 		// limit is the number of requests a second that the replica names in its answers; 0 means none.
 		limit float64
-		// arrived holds when requests arrived at the replica as the first of their path.
+		// arrived holds when requests arrived at the replica as the first of their path and were not refused for wrong layers.
 		arrived []time.Time
+		reached []Arrival
+	}
+
+	// Arrival is a request of a caller, or an order or report, that reached a replica.
+	Arrival struct {
+		// Attempt is the caller's attempt id, or empty.
+		Attempt string
+		At      time.Time
 	}
 
 	stream struct {
@@ -189,7 +199,7 @@
 // Remove deletes the replica's entry from the store.
 func (r *Replica) Remove() { r.fleet.Store.Remove("servers/" + r.id) }
 
-// Drain lists the replica as draining.
+// Drain lists the replica as draining and makes it say so in all its answers.
 func (r *Replica) Drain() {
 	r.mu.Lock()
 	r.draining = true
@@ -197,6 +207,16 @@
 	r.writeEntry()
 }
 
+// DrainUnlisted makes the replica say in all its answers that it leaves, while its entry goes on saying that it is ready.
+func (r *Replica) DrainUnlisted() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.draining, r.silent = true, true
+}
+
+// Heartbeat writes the replica's entry again.
+func (r *Replica) Heartbeat() { r.writeEntry() }
+
 // writeEntry writes the replica's entry to the store unless the replica was killed.
 func (r *Replica) writeEntry() {
 	r.mu.Lock()
@@ -208,7 +228,7 @@
 		"Service": r.fleet.PlainService, "Address": r.address, "Zone": r.zone, "Version": "v1", "Slots": 64, "State": "ready",
 		"ColdLeftMs": 0, "Sequence": r.appliedOrders, "born": r.incarnation,
 	}
-	if r.draining {
+	if r.draining && !r.silent {
 		e["State"] = "draining"
 	}
 	if r.kind != "" {
@@ -236,6 +256,8 @@
 		<-q.Context().Done()
 		return
 	}
+	r.recordReached(q)
+	r.announceLeaving(w)
 	if expected := q.Header.Get("X-Expect-Replica"); expected != "" && expected != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -253,6 +275,27 @@
 	}
 }
 
+func (r *Replica) recordReached(q *http.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reached = append(r.reached, Arrival{q.Header.Get("X-Attempt-Id"), time.Now()})
+}
+
+// Reached returns everything that reached the replica, in order, also what it refused.
+func (r *Replica) Reached() []Arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Arrival(nil), r.reached...)
+}
+
+func (r *Replica) announceLeaving(w http.ResponseWriter) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.draining {
+		w.Header().Set("Server-Leaving", "1")
+	}
+}
+
 func (r *Replica) report(w http.ResponseWriter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
