--- a/chain/chain.go
+++ b/chain/chain.go
@@ -123,7 +123,7 @@
 		if m.Holds.Empty() || m.Holds.To > s.engine.Layers || s.request.Avoid[m.ID] || m.State == fleet.Down {
 			continue
 		}
-		if m.State == fleet.Leaving && s.now.Sub(m.LeavingSince) > s.planner.DrainTime-drainMargin {
+		if m.State == fleet.Leaving && !s.planner.TakesNewWork(s.now, m.LeavingSince) {
 			continue
 		}
 		if s.request.Within != "" && m.Domain != s.request.Within {
@@ -134,6 +134,11 @@
 	return out
 }
 
+// TakesNewWork reports whether a server that has been leaving for some time still takes new work.
+func (p *Planner) TakesNewWork(now, leavingSince time.Time) bool {
+	return now.Sub(leavingSince) <= p.DrainTime-drainMargin
+}
+
 // Uncovered returns the ranges of layers that no usable server holds, for the log of a request without a path. If there are
 // none, cut links between failure domains, the required First server or MaxParts rule out every path.
 func (p *Planner) Uncovered(now time.Time, v *fleet.View, a PathRequest) []teaselstream.LayerRange {
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -63,7 +63,9 @@
 		Member
 		// listedLayers is the layer range in the newest store entry.
 		listedLayers teaselstream.LayerRange
-		reportedAt   time.Time
+		// stated means that this incarnation has said itself that it leaves, which no list takes back.
+		stated     bool
+		reportedAt time.Time
 		// expiredAt is when the entry was removed, set while the removal may be due to a store outage.
 		expiredAt   time.Time
 		nextProbeAt time.Time
@@ -98,6 +100,8 @@
 		c.storeLost, c.storeChangedAt, c.storeReturned, c.dirty = false, now, true, true
 	case ReportReceived:
 		cmds = c.applyReport(now, m)
+	case LeavingStated:
+		cmds = c.markLeaving(now, m)
 	case Unreachable:
 		cmds = c.markDown(now, m)
 	case WorkRefused:
@@ -203,7 +207,7 @@
 			r.State = Leaving
 		}
 		return LogEvent{Event: "ServerLeaving", Server: r.ID, Reason: "draining", Age: age}, true
-	case !draining && !r.LeavingSince.IsZero():
+	case !draining && !r.LeavingSince.IsZero() && !r.stated:
 		r.LeavingSince = time.Time{}
 		if r.State == Leaving {
 			r.State = Serving
@@ -213,6 +217,21 @@
 	return nil, false
 }
 
+// markLeaving applies a server's own statement that it leaves. A VM that cannot read the list learns of it only that way.
+func (c *Core) markLeaving(now time.Time, m LeavingStated) []teaselstream.Cmd {
+	r := c.members[m.Server]
+	if r == nil || m.Incarnation != r.Incarnation || r.stated {
+		return nil
+	}
+	r.stated = true
+	cmd, ok := r.updateDraining(now, true, 0)
+	if !ok {
+		return nil
+	}
+	c.dirty = true
+	return []teaselstream.Cmd{cmd}
+}
+
 func sameMember(a, b Member) bool {
 	return a.State == b.State && a.Holds == b.Holds && a.Address == b.Address && a.Incarnation == b.Incarnation &&
 		a.Service == b.Service && a.Domain == b.Domain && a.LeavingSince.Equal(b.LeavingSince) && a.Pending == b.Pending &&
@@ -251,7 +270,7 @@
 	}
 	before := r.Member
 	if m.Report.Incarnation > r.Incarnation {
-		r.Incarnation = m.Report.Incarnation
+		r.Incarnation, r.stated = m.Report.Incarnation, false
 		r.Pending = teaselstream.LayerRange{}
 	}
 	r.Holds, r.Orders, r.reportedAt = m.Report.Holds, m.Report.Orders, now
@@ -262,6 +281,9 @@
 		r.LoadEstimate.RecordReport(now, m.Report.Running, m.Report.Waiting, float64(m.Report.CacheUsed)/float64(m.Report.CacheTotal))
 	}
 	var cmds []teaselstream.Cmd
+	if m.Report.Leaving {
+		cmds = c.markLeaving(now, LeavingStated{Server: r.ID, Incarnation: r.Incarnation})
+	}
 	if r.State == Down {
 		r.State, r.DownSince, r.Ended = Serving, time.Time{}, false
 		if !r.LeavingSince.IsZero() {
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -80,7 +80,7 @@
 }
 
 // message parses "listed NAME...", "changed NAME [from-to] [born=N] [draining] [age=D]", "removed NAME [age=D]", "reported NAME from-to
-// [born=N]", "silent NAME [born=N] [ended]", "refused NAME [misplaced]", "lost", "regained", "routing N" or "tick".
+// [born=N]", "stated NAME [born=N]", "silent NAME [born=N] [ended]", "refused NAME [misplaced]", "lost", "regained", "routing N" or "tick".
 func message(t *testing.T, f []string) teaselstream.Msg {
 	var id teaselstream.ServerID
 	if len(f) > 1 {
@@ -100,6 +100,8 @@
 		return ReplicaRemoved{id, ageOf(t, f)}
 	case "reported":
 		return ReportReceived{Server: id, Report: teaselstream.ReplicaReport{Incarnation: r.Incarnation, Holds: r.Holds, Pace: 1}}
+	case "stated":
+		return LeavingStated{Server: id, Incarnation: r.Incarnation}
 	case "silent":
 		return Unreachable{Server: id, Incarnation: r.Incarnation, Ended: slices.Contains(f, "ended")}
 	case "refused":
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -46,6 +46,12 @@
 		Report teaselstream.ReplicaReport
 	}
 
+	// LeavingStated reports that an answer of a server to this VM has said that the server is shutting down.
+	LeavingStated struct {
+		Server      teaselstream.ServerID
+		Incarnation teaselstream.Incarnation
+	}
+
 	// Unreachable reports that a replica refused a connection or did not answer a probe.
 	Unreachable struct {
 		Server      teaselstream.ServerID
--- a/proxy/limit.go
+++ b/proxy/limit.go
@@ -16,12 +16,12 @@
 }
 
 // chooseReplica returns the replica for a call, and uses one request of its limit up if it has named one; it returns nil if there
-// is none that takes the call.
+// is none that takes the call. A replica that has said that it leaves takes none.
 func (h *Handler) chooseReplica(now time.Time, v *fleet.View, s teaselstream.ServiceID, tried map[teaselstream.ServerID]bool) *fleet.Member {
 	avoid := tried
 	for {
 		m := h.Balancer.Choose(now, v, s, avoid)
-		if m == nil || h.Limits.Take(now, m.ID) {
+		if m == nil || h.Notices.LeavingSince(m.ID, m.Incarnation).IsZero() && h.Limits.Take(now, m.ID) {
 			return m
 		}
 		if len(avoid) == len(tried) {
--- a/proxy/planner.go
+++ b/proxy/planner.go
@@ -10,7 +10,7 @@
 func (p *streamPlanner) Plan(now time.Time, avoid map[teaselstream.ServerID]bool, first teaselstream.ServerID) (teaselstream.Path, time.Duration, bool) {
 	pathRequest := p.pathRequest
 	pathRequest.Avoid, pathRequest.First = avoid, first
-	pathRequest.MayStart = func(id teaselstream.ServerID) bool { return p.request.handler.Limits.Ready(now, id) }
+	pathRequest.MayStart = func(id teaselstream.ServerID) bool { return p.request.handler.mayStart(now, id) }
 	return p.request.handler.Planner.Plan(now, p.request.handler.View(), pathRequest)
 }
 
--- a/proxy/prober.go
+++ b/proxy/prober.go
@@ -64,6 +64,9 @@
 		report, err = h.Replicas.Report(ctx, id, address)
 		cancel()
 		if err == nil {
+			if report.Leaving {
+				h.Notices.ObserveLeaving(time.Now(), id, report.Incarnation)
+			}
 			h.Post(fleet.ReportReceived{Server: id, Report: report})
 			h.Log.Info("ServerReport", "server", string(id), "holds", report.Holds.String(), "running", report.Running, "waiting", report.Waiting,
 				"cacheUsed", report.CacheUsed, "cacheTotal", report.CacheTotal, "pace", report.Pace, "busy", report.Busy, "stalled", len(report.Stalled))
--- a/replica.go
+++ b/replica.go
@@ -42,6 +42,8 @@
 		CacheTotal int64
 		// Pace is the factor by which the replica is slower than specified; 1 means normal speed.
 		Pace float64
+		// Leaving reports that the replica is shutting down.
+		Leaving bool
 		// Stalled lists requests that wait for another part of their path that does not answer.
 		Stalled []StalledRequest
 	}
