fleet: an older copy of an entry does not take back that a server leaves

Cause: fleet.Core took any ready entry of the same incarnation as news. An older copy of the entry, from a restored store, a stale list or a reader that is behind, brought a draining server back, and one whose removal was complete was listed as new; its drain time then counted again. Class of fault: the order in which entries are read is taken for the order in which they were written.

Change: the heartbeat count in the entry tells the newer of two entries of an incarnation. An entry with a lower count changes nothing; one with the same count does not end a leaving, except where the server leaves only because its entry did not come back after an outage. Servers whose removal is complete are remembered for 10 minutes.

Two scripts expected ServerBack from an entry without a heartbeat count; they give one now, newer than the last, and the same change without a newer count is a new script with the opposite result.

Evidence: without the change the new scripts of fleet/testdata/leaving give ServerBack and Serving for the older copies.

--- a/cmd/stand/plat/replica.go
+++ b/cmd/stand/plat/replica.go
@@ -60,6 +60,7 @@
 		incarnation   int64
 		from, to      int
 		appliedOrders uint64
+		heartbeats    uint64
 		busy          bool
 		unresponsive  bool
 		// draining replicas say so in their answers, and in their entry unless silent is set.
@@ -224,9 +225,10 @@
 	if r.killed {
 		return
 	}
+	r.heartbeats++
 	e := map[string]any{
 		"Service": r.fleet.PlainService, "Address": r.address, "Zone": r.zone, "Version": "v1", "Slots": 64, "State": "ready",
-		"ColdLeftMs": 0, "Sequence": r.appliedOrders, "born": r.incarnation,
+		"ColdLeftMs": 0, "Sequence": r.heartbeats, "born": r.incarnation,
 	}
 	if r.draining && !r.silent {
 		e["State"] = "draining"
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -17,6 +17,9 @@
 	expiryWindow = 2500 * time.Millisecond
 	// removalDelay is how long a server without an entry is kept; it exceeds the platform's longest drain time.
 	removalDelay = 15 * time.Second
+	// goneTime is how long a server that has left is remembered, so that an older copy of its entry does not bring it back. The
+	// platform's store comes back from copies that are some seconds old.
+	goneTime = 10 * time.Minute
 	// probePeriod is the time between probes of a server that is down.
 	probePeriod = 700 * time.Millisecond
 	// refusalBackoff is how long a server that had no room for work gets no new work of this VM. Its requests end one by one
@@ -42,8 +45,10 @@
 	Core struct {
 		Domain teaselstream.DomainID
 
-		routing        *teaselstream.Routing
-		members        map[teaselstream.ServerID]*memberRecord
+		routing *teaselstream.Routing
+		members map[teaselstream.ServerID]*memberRecord
+		// gone holds servers that have left and whose removal was complete.
+		gone           map[teaselstream.ServerID]*memberRecord
 		peers          []Peer
 		storeLost      bool
 		storeChangedAt time.Time
@@ -64,7 +69,9 @@
 		// listedLayers is the layer range in the newest store entry.
 		listedLayers teaselstream.LayerRange
 		// stated means that this incarnation has said itself that it leaves, which no list takes back.
-		stated     bool
+		stated bool
+		// lapsed means that the server leaves only because its entry did not come back after a store outage.
+		lapsed     bool
 		reportedAt time.Time
 		// expiredAt is when the entry was removed, set while the removal may be due to a store outage.
 		expiredAt   time.Time
@@ -160,13 +167,22 @@
 
 func (c *Core) applyEntry(now time.Time, x teaselstream.Replica, age time.Duration) []teaselstream.Cmd {
 	r := c.members[x.ID]
+	if g := c.gone[x.ID]; r == nil && g != nil {
+		if x.Incarnation < g.Incarnation || x.Incarnation == g.Incarnation && g.outdated(x) {
+			return nil
+		}
+		delete(c.gone, x.ID)
+		if x.Incarnation == g.Incarnation {
+			r, c.members[x.ID] = g, g
+		}
+	}
 	if r == nil {
 		c.members[x.ID] = &memberRecord{Member: Member{Replica: x, Slowdown: 1, LoadEstimate: &LoadEstimate{}}, listedLayers: x.Holds}
 		c.members[x.ID].updateDraining(now, x.Draining, age)
 		c.dirty = true
 		return []teaselstream.Cmd{LogEvent{Event: "ServerListed", Server: x.ID}}
 	}
-	if x.Incarnation < r.Incarnation {
+	if x.Incarnation < r.Incarnation || x.Incarnation == r.Incarnation && r.outdated(x) {
 		return nil
 	}
 	var cmds []teaselstream.Cmd
@@ -187,7 +203,7 @@
 		r.Replica = x
 		r.Holds, r.Orders = holds, orders
 	}
-	r.expiredAt, r.removedAt = time.Time{}, time.Time{}
+	r.expiredAt, r.removedAt, r.lapsed = time.Time{}, time.Time{}, false
 	if cmd, ok := r.updateDraining(now, x.Draining, age); ok {
 		cmds = append(cmds, cmd)
 	}
@@ -197,6 +213,12 @@
 	return cmds
 }
 
+// outdated reports whether an entry is older than what is known of the same incarnation: it was written earlier, or it shows a
+// leaving server as it was before it left.
+func (r *memberRecord) outdated(x teaselstream.Replica) bool {
+	return x.Heartbeats < r.Heartbeats || x.Heartbeats == r.Heartbeats && !x.Draining && !r.LeavingSince.IsZero() && !r.lapsed
+}
+
 // updateDraining applies the draining flag of a store entry. It does not end the state Down,
 // which only a report or an entry of a newer incarnation does.
 func (r *memberRecord) updateDraining(now time.Time, draining bool, age time.Duration) (teaselstream.Cmd, bool) {
@@ -353,16 +375,26 @@
 	return LogEvent{Event: "LinkCut", Server: r.ID, Reason: "from " + string(link.From) + " to " + string(link.To)}, true
 }
 
+// forget moves a server whose removal is complete to those that are gone, and drops those that have been gone for long.
+func (c *Core) forget(now time.Time, r *memberRecord) {
+	if c.gone == nil {
+		c.gone = make(map[teaselstream.ServerID]*memberRecord)
+	}
+	maps.DeleteFunc(c.gone, func(_ teaselstream.ServerID, g *memberRecord) bool { return now.Sub(g.removedAt) > goneTime })
+	delete(c.members, r.ID)
+	c.gone[r.ID], c.dirty = r, true
+}
+
 func (c *Core) tick(now time.Time) []teaselstream.Cmd {
 	var cmds []teaselstream.Cmd
 	for _, id := range slices.Sorted(maps.Keys(c.members)) {
 		r := c.members[id]
 		switch {
 		case !r.expiredAt.IsZero() && !c.storeLost && now.Sub(c.storeChangedAt) >= reregisterWindow && now.Sub(r.expiredAt) >= reregisterWindow:
+			r.lapsed = r.LeavingSince.IsZero()
 			cmds = append(cmds, c.startRemoval(now, r, now.Sub(r.expiredAt), "not registered again after the store outage")...)
 		case !r.removedAt.IsZero() && now.Sub(r.removedAt) >= removalDelay:
-			delete(c.members, id)
-			c.dirty = true
+			c.forget(now, r)
 			continue
 		}
 		if r.State == Down && r.removedAt.IsZero() && !now.Before(r.nextProbeAt) {
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -79,7 +79,7 @@
 	return out.String()
 }
 
-// message parses "listed NAME...", "changed NAME [from-to] [born=N] [draining] [age=D]", "removed NAME [age=D]", "reported NAME from-to
+// message parses "listed NAME[@HEARTBEATS]...", "changed NAME [from-to] [born=N] [beat=N] [draining] [age=D]", "removed NAME [age=D]", "reported NAME from-to
 // [born=N]", "stated NAME [born=N]", "silent NAME [born=N] [ended]", "refused NAME [misplaced]", "lost", "regained", "routing N" or "tick".
 func message(t *testing.T, f []string) teaselstream.Msg {
 	var id teaselstream.ServerID
@@ -91,7 +91,8 @@
 	case "listed":
 		var l ReplicasListed
 		for _, name := range f[1:] {
-			l.Replicas = append(l.Replicas, replicaOf(teaselstream.ServerID(name), nil))
+			name, beat, _ := strings.Cut(name, "@")
+			l.Replicas = append(l.Replicas, replicaOf(teaselstream.ServerID(name), []string{"beat=" + beat}))
 		}
 		return l
 	case "changed":
@@ -144,10 +145,13 @@
 func replicaOf(id teaselstream.ServerID, f []string) teaselstream.Replica {
 	r := teaselstream.Replica{ID: id, Service: "model", Address: string(id), Domain: "zone", Incarnation: 1}
 	for _, word := range f {
-		var from, to, born int
+		var from, to, born, beat int
 		if n, _ := fmt.Sscanf(word, "%d-%d", &from, &to); n == 2 {
 			r.Holds = teaselstream.LayerRange{From: teaselstream.Layer(from), To: teaselstream.Layer(to)}
 		}
+		if n, _ := fmt.Sscanf(word, "beat=%d", &beat); n == 1 {
+			r.Heartbeats = uint64(beat)
+		}
 		if n, _ := fmt.Sscanf(word, "born=%d", &born); n == 1 {
 			r.Incarnation = teaselstream.Incarnation(born)
 		}
--- a/replica.go
+++ b/replica.go
@@ -18,6 +18,9 @@
 		Draining    bool
 		// Incarnation grows with each start under the same id.
 		Incarnation Incarnation
+		// Heartbeats counts the heartbeats of this incarnation up to the one that wrote the entry; 0 means that it is unknown. Of two
+		// entries, it tells the newer one, which their order in the store does not if that came back from an older copy.
+		Heartbeats uint64
 		// Warming is the remaining time for which the replica is slow after its start.
 		Warming time.Duration
 		// Holds is the range of layers that the replica runs; an empty range means none.
