proxy: check at the send that a leaving server still takes requests

Cause: the margin to the end of a drain time was kept when a path was planned or a replica chosen; the request then waits for a connection, on a VM that may be slow, and nothing looked again. Class of fault: a permission that is checked when it is planned, not when it is used.

Change: Handler.send checks the newest view and the server's own statements once a connection is there. A request that comes too late is not sent, counts as not sent, and another server is chosen; the line is SendWithheld.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -49,14 +49,17 @@
 }
 
 // send writes a request to a server and reads the status and header of its response.
-// The connection closes when ctx ends. An error wraps errDial if nothing was sent.
+// The connection closes when ctx ends. An error wraps errDial or errWithheld if nothing was sent.
 func (h *Handler) send(ctx context.Context, to *fleet.Member, fresh bool, m *outgoingRequest, id teaselstream.AttemptID) (*upstreamResponse, error) {
 	planned := time.Now()
 	u, err := h.pool.get(ctx, to.Address, fresh)
 	if err != nil {
 		return nil, err
 	}
-	h.logLeaving(planned, to, id)
+	if err := h.maySend(planned, to, id); err != nil {
+		h.pool.giveBack(u)
+		return nil, err
+	}
 	stop := context.AfterFunc(ctx, u.discard)
 	a, err := h.roundTrip(u, m, id)
 	if err != nil {
@@ -170,7 +173,7 @@
 }
 
 // notSent reports whether an error means that no byte of the request was written.
-func notSent(err error) bool { return errors.Is(err, errDial) }
+func notSent(err error) bool { return errors.Is(err, errDial) || errors.Is(err, errWithheld) }
 
 // dialFailed reports whether connecting failed, which is unusual for a running server.
 func dialFailed(err error) bool {
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -175,7 +175,7 @@
 	}
 	result := pick.Succeeded
 	switch {
-	case s.err != nil && errors.Is(context.Cause(ctx), context.Canceled):
+	case s.err != nil && (errors.Is(context.Cause(ctx), context.Canceled) || errors.Is(s.err, errWithheld)):
 		result = pick.Canceled
 	case s.err != nil:
 		result = pick.Failed
--- a/proxy/notice.go
+++ b/proxy/notice.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"errors"
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -8,6 +10,13 @@
 	"github.com/teaselstream/teaselstream/fleet"
 )
 
+// sendMargin is the time for the way of a request to its server. Links take a few milliseconds, and a packet that is lost is sent
+// again after 200 ms or more.
+const sendMargin = 300 * time.Millisecond
+
+// errWithheld reports that a request was not sent since its server takes no more by now.
+var errWithheld = errors.New("server takes no more requests")
+
 // observeNotice records what a server says about itself in an answer to the request.
 func (r *request) observeNotice(id teaselstream.ServerID, incarnation teaselstream.Incarnation, a teaselstream.AnswerHead) {
 	if a.Leaving && r.handler.Notices.ObserveLeaving(time.Now(), id, incarnation) {
@@ -36,18 +45,23 @@
 	return (since.IsZero() || h.Planner.TakesNewWork(now, since)) && h.Limits.Ready(now, id)
 }
 
-// logLeaving logs a request that is sent to a server that is shutting down. That is allowed for the time that the platform states.
-func (h *Handler) logLeaving(planned time.Time, to *fleet.Member, id teaselstream.AttemptID) {
+// maySend checks, when a connection is there, that a request planned at a given time may still be sent. A request to a server that
+// is shutting down is logged; after its drain time the error wraps errWithheld.
+func (h *Handler) maySend(planned time.Time, to *fleet.Member, id teaselstream.AttemptID) error {
 	now := time.Now()
-	args := []any{"request", string(id), "server", string(to.ID), "incarnation", uint64(to.Incarnation), "sincePlanMs", now.Sub(planned).Milliseconds()}
-	said := h.Notices.LeavingSince(to.ID, to.Incarnation)
-	if m := h.View().Members[to.ID]; m != nil && !m.LeavingSince.IsZero() {
-		args = append(args, "sinceListedMs", now.Sub(m.LeavingSince).Milliseconds())
-	} else if said.IsZero() {
-		return
+	since := h.leavingSince(to.ID, to.Incarnation)
+	if since.IsZero() {
+		return nil
+	}
+	args := []any{
+		"request", string(id), "server", string(to.ID), "incarnation", uint64(to.Incarnation),
+		"sincePlanMs", now.Sub(planned).Milliseconds(), "leavingMs", now.Sub(since).Milliseconds(),
+		"stated", !h.Notices.LeavingSince(to.ID, to.Incarnation).IsZero(),
 	}
-	if !said.IsZero() {
-		args = append(args, "sinceStatedMs", now.Sub(said).Milliseconds())
+	if now.Sub(since) > h.Planner.DrainTime-sendMargin {
+		h.Log.Info("SendWithheld", args...)
+		return fmt.Errorf("send to %s: %w: its drain time is over", to.ID, errWithheld)
 	}
 	h.Log.Info("SentToLeaving", args...)
+	return nil
 }
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -109,6 +109,21 @@
 	p.idle[u.address] = append(p.idle[u.address], u)
 }
 
+// giveBack stores a connection on which nothing was sent; a new one is closed, since its keep-alive time is not known.
+func (p *Pool) giveBack(u *serverConn) {
+	if !u.used {
+		u.discard()
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idle == nil || len(p.idle[u.address]) >= maxIdleConns {
+		u.discard()
+		return
+	}
+	p.idle[u.address] = append(p.idle[u.address], u)
+}
+
 // CloseExpired closes connections whose keep-alive time has expired.
 func (p *Pool) CloseExpired(now time.Time) {
 	p.mu.Lock()
--- a/proxy/upstream_test.go
+++ b/proxy/upstream_test.go
@@ -77,7 +77,11 @@
 func sendAndRead(t *testing.T, h *Handler, address string) (string, error) {
 	t.Helper()
 	h.View = func() *fleet.View { return &fleet.View{} }
-	to := &fleet.Member{Replica: teaselstream.Replica{Address: address}}
+	return sendTo(t, h, &fleet.Member{Replica: teaselstream.Replica{Address: address}})
+}
+
+func sendTo(t *testing.T, h *Handler, to *fleet.Member) (string, error) {
+	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	a, err := h.send(ctx, to, false, &outgoingRequest{method: "GET", target: "/", host: "h", header: http.Header{}}, "me")
