gate: send nothing to a server that has asked this VM to wait

Cause: the header was read by nobody; a server that refused was used again after 1 s at the latest, calls and reports at once.

Change: package notice keeps the time per server and incarnation. Paths do not start there, calls, second attempts, reports, moves and orders are not sent, and requests that are planned already are withheld at the send. While all servers of a service want nothing, callers are refused at once with the time until the first one takes requests.

--- a/cmd/gate/control.go
+++ b/cmd/gate/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync/atomic"
@@ -182,7 +183,7 @@
 		return
 	}
 	_, err := c.handler.ReadReport(x.Server, x.Address, m.Incarnation)
-	if err != nil {
+	if err != nil && !errors.Is(err, proxy.ErrWithheld) {
 		c.log.Info("ServerSilent", "server", string(x.Server), "reason", x.Reason, "error", err)
 	}
 }
--- a/cmd/gate/order.go
+++ b/cmd/gate/order.go
@@ -9,6 +9,7 @@
 	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/cover"
 	"github.com/teaselstream/teaselstream/fleet"
+	"github.com/teaselstream/teaselstream/proxy"
 )
 
 const (
@@ -42,6 +43,9 @@
 	if r.Busy || r.Holds != x.Holds || r.Incarnation != x.Incarnation {
 		return fmt.Errorf("%w: busy %t, holds %s", errStateMismatch, r.Busy, r.Holds)
 	}
+	if err := c.handler.CheckWait(x.Server, x.Incarnation); err != nil {
+		return fmt.Errorf("send order: %w", err)
+	}
 	c.post(fleet.LayersOrdered{Server: x.Server, Range: x.Range})
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
@@ -59,6 +63,9 @@
 	for limit := time.Now().Add(loadTimeout); time.Now().Before(limit); {
 		time.Sleep(loadPollPeriod)
 		r, err := c.handler.ReadReport(x.Server, x.Address, x.Incarnation)
+		if errors.Is(err, proxy.ErrWithheld) {
+			continue
+		}
 		if err != nil {
 			return fmt.Errorf("read report after order: %w", err)
 		}
--- a/cmd/stand/plat/caller.go
+++ b/cmd/stand/plat/caller.go
@@ -38,6 +38,15 @@
 // SaysLeaving reports whether the replica that generated a response says that it leaves.
 func SaysLeaving(h http.Header) bool { return h.Get("Server-Leaving") == "1" }
 
+// RetryAfter returns the time that a response asks the caller to wait, or 0.
+func RetryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // Configure writes a configuration to the store as the operator does; see Config.
 func (f *Fleet) Configure(version int, keys ...string) {
 	f.Store.Put("op/config", f.Config(version, keys...))
--- a/cmd/stand/plat/replica.go
+++ b/cmd/stand/plat/replica.go
@@ -74,6 +74,11 @@
 		// arrived holds when requests arrived at the replica as the first of their path and were not refused for wrong layers.
 		arrived []time.Time
 		reached []Arrival
+		// turnsAway is the Retry-After with which the replica turns all requests away until turnsAwayUntil; turnedAway holds these
+		// answers.
+		turnsAway      time.Duration
+		turnsAwayUntil time.Time
+		turnedAway     []Arrival
 	}
 
 	// Arrival is a request of a caller, or an order or report, that reached a replica.
@@ -265,6 +270,9 @@
 		return
 	}
 	r.fleet.recordArrival(q)
+	if !strings.HasPrefix(q.URL.Path, "/v1/") && r.turnAway(w, q) {
+		return
+	}
 	switch {
 	case q.URL.Path == "/v1/report":
 		r.report(w)
@@ -283,6 +291,36 @@
 	r.reached = append(r.reached, Arrival{q.Header.Get("X-Attempt-Id"), time.Now()})
 }
 
+// TurnAway makes the replica answer all requests of callers with 503 and a Retry-After for a time.
+func (r *Replica) TurnAway(retryAfter, duration time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.turnsAway, r.turnsAwayUntil = retryAfter, time.Now().Add(duration)
+}
+
+// TurnedAway returns the requests that the replica has turned away with a Retry-After, in order.
+func (r *Replica) TurnedAway() []Arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Arrival(nil), r.turnedAway...)
+}
+
+func (r *Replica) turnAway(w http.ResponseWriter, q *http.Request) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if !now.Before(r.turnsAwayUntil) {
+		return false
+	}
+	attempt := q.Header.Get("X-Attempt-Id")
+	r.turnedAway = append(r.turnedAway, Arrival{attempt, now})
+	w.Header().Set("X-Attempt-Id", attempt)
+	w.Header().Set("X-Not-Executed", "busy")
+	w.Header().Set("Retry-After", strconv.FormatFloat(r.turnsAway.Seconds(), 'f', -1, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
 // Reached returns everything that reached the replica, in order, also what it refused.
 func (r *Replica) Reached() []Arrival {
 	r.mu.Lock()
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -341,7 +341,7 @@
 	if m.WrongLayers {
 		backoff = wrongLayersBackoff
 	}
-	r.PausedUntil, c.dirty = now.Add(backoff), true
+	r.PausedUntil, c.dirty = now.Add(max(backoff, m.Wait)), true
 	if note, ok := c.detectCutLink(now, r, m); ok {
 		return []teaselstream.Cmd{note}
 	}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -69,6 +69,8 @@
 		ReportedBy teaselstream.ServerID
 		// WrongLayers means that the replica does not hold the requested layer range.
 		WrongLayers bool
+		// Wait is how long the replica wants no more work, if it said so.
+		Wait time.Duration
 	}
 
 	// LayersOrdered reports that this VM has ordered a replica to load a layer range; an empty range ends the order.
--- a/flow/call.go
+++ b/flow/call.go
@@ -38,7 +38,9 @@
 		// failedAttempt is the last attempt that a replica answered with a 5xx status. Its answer is delivered if no other
 		// attempt brings a better one; 0 means none.
 		failedAttempt int
-		done          bool
+		// retryAfter is the time until a replica takes calls again, if that is known.
+		retryAfter time.Duration
+		done       bool
 	}
 
 	// CallStart begins the call.
@@ -60,7 +62,11 @@
 	}
 
 	// CallNoReplica reports that no replica was available for an attempt.
-	CallNoReplica struct{ AttemptNumber int }
+	CallNoReplica struct {
+		AttemptNumber int
+		// RetryAfter is the time until a replica takes calls again; 0 means that it is not known.
+		RetryAfter time.Duration
+	}
 
 	// CallHedgeDue reports that the call has lasted longer than the hedging delay.
 	CallHedgeDue struct{}
@@ -96,7 +102,7 @@
 		return c.retryOrEnd(m.Reason)
 	case CallNoReplica:
 		c.running--
-		c.attempts = maxCallAttempts
+		c.attempts, c.retryAfter = maxCallAttempts, min(m.RetryAfter, maxRetryAfter)
 		return c.retryOrEnd("no replica available")
 	case CallHedgeDue:
 		return c.hedge()
@@ -177,6 +183,9 @@
 func (c *Call) refuse(code teaselstream.Code, message string) []teaselstream.Cmd {
 	c.done = true
 	e := &teaselstream.Error{Code: code, Outcome: teaselstream.NotRun, Message: message, RetryAfter: retryAfterBusy}
+	if c.retryAfter > 0 {
+		e.RetryAfter = c.retryAfter
+	}
 	if code == teaselstream.CodeCrashesServers {
 		e.RetryAfter = 0
 	}
--- a/notice/notices.go
+++ b/notice/notices.go
@@ -30,7 +30,9 @@
 	statement struct {
 		incarnation  teaselstream.Incarnation
 		leavingSince time.Time
-		heardAt      time.Time
+		// waitUntil is until when it wants nothing from this VM.
+		waitUntil time.Time
+		heardAt   time.Time
 	}
 )
 
@@ -49,6 +51,30 @@
 	return true
 }
 
+// ObserveWait records that a server wants nothing from this VM for some time.
+func (n *Notices) ObserveWait(now time.Time, id teaselstream.ServerID, incarnation teaselstream.Incarnation, wait time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.statement(now, id, incarnation)
+	if until := now.Add(wait); s != nil && until.After(s.waitUntil) {
+		s.waitUntil = until
+	}
+}
+
+// Wait returns for how long a server wants nothing more from this VM, or 0.
+func (n *Notices) Wait(now time.Time, id teaselstream.ServerID, incarnation teaselstream.Incarnation) time.Duration {
+	if !n.any.Load() {
+		return 0
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.servers[id]
+	if s == nil || s.incarnation < incarnation {
+		return 0
+	}
+	return max(0, s.waitUntil.Sub(now))
+}
+
 // LeavingSince returns when an answer of a server first said that it leaves, or the zero time.
 func (n *Notices) LeavingSince(id teaselstream.ServerID, incarnation teaselstream.Incarnation) time.Time {
 	if !n.any.Load() {
@@ -88,7 +114,7 @@
 	}
 	n.sweptAt = now
 	for id, s := range n.servers {
-		if now.Sub(s.heardAt) > keepTime {
+		if now.Sub(s.heardAt) > keepTime && now.After(s.waitUntil) {
 			delete(n.servers, id)
 		}
 	}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -49,7 +49,7 @@
 }
 
 // send writes a request to a server and reads the status and header of its response.
-// The connection closes when ctx ends. An error wraps errDial or errWithheld if nothing was sent.
+// The connection closes when ctx ends. An error wraps errDial or ErrWithheld if nothing was sent.
 func (h *Handler) send(ctx context.Context, to *fleet.Member, fresh bool, m *outgoingRequest, id teaselstream.AttemptID) (*upstreamResponse, error) {
 	planned := time.Now()
 	u, err := h.pool.get(ctx, to.Address, fresh)
@@ -68,6 +68,7 @@
 		return nil, err
 	}
 	a.detach = stop
+	h.observeNotice(to, a.head, id)
 	return a, nil
 }
 
@@ -173,7 +174,7 @@
 }
 
 // notSent reports whether an error means that no byte of the request was written.
-func notSent(err error) bool { return errors.Is(err, errDial) || errors.Is(err, errWithheld) }
+func notSent(err error) bool { return errors.Is(err, errDial) || errors.Is(err, ErrWithheld) }
 
 // dialFailed reports whether connecting failed, which is unusual for a running server.
 func dialFailed(err error) bool {
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -45,6 +45,8 @@
 		body             []byte
 		err              error
 		elapsed          time.Duration
+		// retryAfter is the time until a replica takes the call, if there was none.
+		retryAfter time.Duration
 	}
 )
 
@@ -89,7 +91,7 @@
 func (c *callRunner) storeResult(s sendResult) teaselstream.Msg {
 	switch {
 	case s.member == nil:
-		return flow.CallNoReplica{AttemptNumber: s.number}
+		return flow.CallNoReplica{AttemptNumber: s.number, RetryAfter: s.retryAfter}
 	case s.err != nil:
 		c.log("CallFailed", slog.LevelInfo, "server", string(s.member.ID), "error", s.err.Error(), "notSent", notSent(s.err))
 		if !notSent(s.err) {
@@ -97,7 +99,6 @@
 		}
 		return flow.CallFailed{AttemptNumber: s.number, NotSent: notSent(s.err), Reason: "not answered"}
 	default:
-		c.observeNotice(s.member.ID, s.member.Incarnation, s.upstreamResponse.head)
 		c.responses[s.number] = s
 		if !s.upstreamResponse.head.NotRun {
 			c.reportSound()
@@ -138,7 +139,7 @@
 	v := h.View()
 	m := h.chooseReplica(now, v, c.pool.Service, c.tried)
 	if m == nil {
-		c.results <- sendResult{number: x.AttemptNumber}
+		c.results <- sendResult{number: x.AttemptNumber, retryAfter: h.soonestReplica(now, v, c.pool.Service)}
 		return
 	}
 	c.tried[m.ID] = true
@@ -175,7 +176,7 @@
 	}
 	result := pick.Succeeded
 	switch {
-	case s.err != nil && (errors.Is(context.Cause(ctx), context.Canceled) || errors.Is(s.err, errWithheld)):
+	case s.err != nil && (errors.Is(context.Cause(ctx), context.Canceled) || errors.Is(s.err, ErrWithheld)):
 		result = pick.Canceled
 	case s.err != nil:
 		result = pick.Failed
--- a/proxy/notice.go
+++ b/proxy/notice.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"log/slog"
 	"time"
 
 	"github.com/teaselstream/teaselstream"
@@ -14,17 +13,37 @@
 // again after 200 ms or more.
 const sendMargin = 300 * time.Millisecond
 
-// errWithheld reports that a request was not sent since its server takes no more by now.
-var errWithheld = errors.New("server takes no more requests")
+// ErrWithheld reports that nothing was sent since the server takes nothing by now.
+var ErrWithheld = errors.New("server takes nothing now")
 
-// observeNotice records what a server says about itself in an answer to the request.
-func (r *request) observeNotice(id teaselstream.ServerID, incarnation teaselstream.Incarnation, a teaselstream.AnswerHead) {
-	if a.Leaving && r.handler.Notices.ObserveLeaving(time.Now(), id, incarnation) {
-		r.log("LeavingStated", slog.LevelInfo, "server", string(id), "incarnation", uint64(incarnation))
-		r.handler.Post(fleet.LeavingStated{Server: id, Incarnation: incarnation})
+// observeNotice records what a server says about itself in an answer.
+func (h *Handler) observeNotice(to *fleet.Member, a teaselstream.AnswerHead, id teaselstream.AttemptID) {
+	now := time.Now()
+	if a.Leaving && h.Notices.ObserveLeaving(now, to.ID, to.Incarnation) {
+		h.Log.Info("LeavingStated", "request", string(id), "server", string(to.ID), "incarnation", uint64(to.Incarnation))
+		h.Post(fleet.LeavingStated{Server: to.ID, Incarnation: to.Incarnation})
+	}
+	if a.Wait > 0 {
+		h.Log.Info("WaitRequested", "request", string(id), "server", string(to.ID), "waitMs", a.Wait.Milliseconds())
+		h.Notices.ObserveWait(now, to.ID, to.Incarnation, a.Wait)
 	}
 }
 
+// CheckWait returns an error that wraps ErrWithheld if a server wants nothing from this VM now, orders and reports included.
+func (h *Handler) CheckWait(id teaselstream.ServerID, incarnation teaselstream.Incarnation) error {
+	if wait := h.Notices.Wait(time.Now(), id, incarnation); wait > 0 {
+		return fmt.Errorf("send to %s: %w: it asked to wait, %d ms are left", id, ErrWithheld, wait.Milliseconds())
+	}
+	return nil
+}
+
+// startWait returns the time until a server may get a new request of this VM, by its limit and by the time for which it wants
+// nothing; ok is false if this VM has no part of the limit.
+func (h *Handler) startWait(now time.Time, id teaselstream.ServerID, incarnation teaselstream.Incarnation) (wait time.Duration, ok bool) {
+	wait, ok = h.Limits.Wait(now, id)
+	return max(wait, h.Notices.Wait(now, id, incarnation)), ok
+}
+
 // leavingSince returns since when a server leaves, by its own answers or the list, whichever is earlier, or the zero time.
 func (h *Handler) leavingSince(id teaselstream.ServerID, incarnation teaselstream.Incarnation) time.Time {
 	since := h.Notices.LeavingSince(id, incarnation)
@@ -42,13 +61,18 @@
 		return false
 	}
 	since := h.leavingSince(id, m.Incarnation)
-	return (since.IsZero() || h.Planner.TakesNewWork(now, since)) && h.Limits.Ready(now, id)
+	wait, ok := h.startWait(now, id, m.Incarnation)
+	return (since.IsZero() || h.Planner.TakesNewWork(now, since)) && ok && wait <= 0
 }
 
 // maySend checks, when a connection is there, that a request planned at a given time may still be sent. A request to a server that
-// is shutting down is logged; after its drain time the error wraps errWithheld.
+// is shutting down is logged; after its drain time, or while the server wants nothing from this VM, the error wraps ErrWithheld.
 func (h *Handler) maySend(planned time.Time, to *fleet.Member, id teaselstream.AttemptID) error {
 	now := time.Now()
+	if err := h.CheckWait(to.ID, to.Incarnation); err != nil {
+		h.Log.Info("SendWithheld", "request", string(id), "server", string(to.ID), "sincePlanMs", now.Sub(planned).Milliseconds(), "error", err.Error())
+		return err
+	}
 	since := h.leavingSince(to.ID, to.Incarnation)
 	if since.IsZero() {
 		return nil
@@ -60,7 +84,7 @@
 	}
 	if now.Sub(since) > h.Planner.DrainTime-sendMargin {
 		h.Log.Info("SendWithheld", args...)
-		return fmt.Errorf("send to %s: %w: its drain time is over", to.ID, errWithheld)
+		return fmt.Errorf("send to %s: %w: its drain time is over", to.ID, ErrWithheld)
 	}
 	h.Log.Info("SentToLeaving", args...)
 	return nil
--- a/proxy/planner.go
+++ b/proxy/planner.go
@@ -15,7 +15,9 @@
 }
 
 func (p *streamPlanner) Take(now time.Time, first teaselstream.ServerID) bool {
-	return p.request.handler.Limits.Take(now, first)
+	h := p.request.handler
+	m := h.View().Members[first]
+	return m != nil && h.Notices.Wait(now, first, m.Incarnation) <= 0 && h.Limits.Take(now, first)
 }
 
 func (p *streamPlanner) LimitWait(now time.Time, avoid map[teaselstream.ServerID]bool) (time.Duration, bool) {
@@ -26,7 +28,7 @@
 		if !m.Holds.Contains(0) || avoid[m.ID] || m.State != fleet.Serving {
 			continue
 		}
-		wait, ok := h.Limits.Wait(now, m.ID)
+		wait, ok := h.startWait(now, m.ID, m.Incarnation)
 		if ok && wait <= 0 {
 			continue
 		}
--- a/proxy/prober.go
+++ b/proxy/prober.go
@@ -54,10 +54,14 @@
 	return x.report, x.err
 }
 
-// ReadReport reads a server's load report and posts the result to the control loop.
+// ReadReport reads a server's load report and posts the result to the control loop. The error wraps ErrWithheld if the
+// server wants nothing from this VM, which says nothing about its health.
 func (h *Handler) ReadReport(id teaselstream.ServerID, address string, incarnation teaselstream.Incarnation) (teaselstream.ReplicaReport, error) {
 	var report teaselstream.ReplicaReport
-	var err error
+	err := h.CheckWait(id, incarnation)
+	if err != nil {
+		return report, err
+	}
 	// An idle connection may be broken although the server runs, so a failure counts only if a second try fails too.
 	for range 2 {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -98,7 +98,11 @@
 	if m := h.View().ByAddress(a.head.Fault); a.head.Fault != "" && m != nil {
 		id = m.ID
 	}
-	h.Post(fleet.WorkRefused{Server: id, ReportedBy: path[0].Server, WrongLayers: a.status == http.StatusMisdirectedRequest})
+	m := fleet.WorkRefused{Server: id, ReportedBy: path[0].Server, WrongLayers: a.status == http.StatusMisdirectedRequest}
+	if id == path[0].Server {
+		m.Wait = a.head.Wait
+	}
+	h.Post(m)
 }
 
 func (s *streamRunner) probe(c flow.Probe) {
@@ -113,19 +117,23 @@
 	stalled := report.WaitsFor(s.head.Attempt)
 	s.log("PathProbed", slog.LevelInfo, "attempt", c.Attempt, "server", string(head.ID), "waitedMs", c.Waited.Milliseconds(),
 		"stalled", stalled, "running", report.Running, "waiting", report.Waiting, "error", errorText(err))
-	s.post(context.Background(), flow.Probed{Attempt: c.Attempt, Unresponsive: err != nil, BlockedOn: stalled})
+	s.post(context.Background(), flow.Probed{Attempt: c.Attempt, Unresponsive: err != nil && !errors.Is(err, ErrWithheld), BlockedOn: stalled})
 	if m := v.ByAddress(stalled); stalled != "" && m != nil {
 		// The stalled server is probed itself. If it does not respond, other streams leave it once the next view marks it.
-		if _, err := h.prober.readReport(h, m); err != nil {
+		if _, err := h.prober.readReport(h, m); err != nil && !errors.Is(err, ErrWithheld) {
 			s.log("PartSilent", slog.LevelInfo, "server", string(m.ID), "error", err.Error())
 		}
 	}
 }
 
-func (s *streamRunner) repath(c flow.Repath) {
+// repath asks the first server of a path, of the given incarnation, to move the request to another path.
+func (s *streamRunner) repath(c flow.Repath, incarnation teaselstream.Incarnation) {
 	ctx, cancel := context.WithTimeout(context.Background(), repathTimeout)
 	defer cancel()
-	err := s.handler.Replicas.Repath(ctx, s.head.Attempt, c.Path)
+	err := s.handler.CheckWait(c.Path[0].Server, incarnation)
+	if err == nil {
+		err = s.handler.Replicas.Repath(ctx, s.head.Attempt, c.Path)
+	}
 	s.log("RequestMoved", slog.LevelInfo, "attempt", c.Attempt, "reason", c.Reason, "error", errorText(err))
 	moved := flow.Repathed{Attempt: c.Attempt, Err: err}
 	var refused *teaselstream.PartRefusedError
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -195,7 +195,6 @@
 			"fault", o.Answer.Fault, "running", o.Answer.Running, "waiting", o.Answer.Waiting)
 	}
 	if o.Attempt == s.core.Attempt {
-		s.observeNotice(s.first.ID, s.first.Incarnation, o.Answer)
 		s.handler.observeLimit(s.attemptAt, s.core.Path[0].Server, o.Answer)
 	}
 	if !o.Answer.HasLoad || o.Attempt != s.core.Attempt {
@@ -218,7 +217,7 @@
 		case m == nil:
 		case v != s.lastView && m.State == fleet.Down:
 			lost = append(lost, p.Server)
-		case m.State == fleet.Leaving && now.Sub(m.LeavingSince) > drain && s.outlastsDrain(now, m):
+		case m.State == fleet.Leaving && now.Sub(m.LeavingSince) > drain && s.handler.Notices.Wait(now, s.first.ID, s.first.Incarnation) <= 0 && s.outlastsDrain(now, m):
 			cmds = append(cmds, s.core.MoveOff(now, p.Server)...)
 		}
 	}
@@ -254,7 +253,7 @@
 		case flow.Repath:
 			s.moves++
 			s.reserve(c.Path)
-			go s.repath(c)
+			go s.repath(c, s.first.Incarnation)
 		case flow.Deliver:
 			if !s.deliver(c) {
 				return s.execute(s.core.Update(time.Now(), flow.CallerDisconnected{}))
--- a/replica.go
+++ b/replica.go
@@ -147,6 +147,8 @@
 		Limit    RequestsPerSecond
 		// Leaving reports that the replica is shutting down.
 		Leaving bool
+		// Wait is how long the replica, which turns the request away, wants nothing from this VM; 0 means that it did not say.
+		Wait time.Duration
 	}
 
 	// Dialect reads and writes the headers that a platform uses between callers, router and replicas.
