gate: changes read from the store wait for the control loop

Cause: all messages to the control loop were dropped while its queue was full, also those that nobody posts again. A dropped removal left a server in use for good, a dropped configuration waited for the next one, a dropped result of an order kept its server reserved. Class of fault: one bound on waiting for producers that must not wait and for those that may.

Change: the follower of the store and the end of an order wait for room; requests and probes still do not.

--- a/cmd/gate/control.go
+++ b/cmd/gate/control.go
@@ -74,8 +74,7 @@
 func (c *controlLoop) current() *fleet.View { return c.view.Load() }
 
 // post queues a message for the control loop. Requests must not wait, so a message is dropped and counted if the
-// queue is full. What requests, probes and heartbeats report is observed again later; a dropped configuration, removal of an
-// entry, list of VMs or result of an order is not posted again.
+// queue is full. What requests and probes report is observed again later.
 func (c *controlLoop) post(m teaselstream.Msg) {
 	select {
 	case c.inbox <- m:
@@ -84,6 +83,15 @@
 	}
 }
 
+// postAll queues a message that is not posted again, such as a change in the store or the result of an order, and waits while the
+// queue is full.
+func (c *controlLoop) postAll(ctx context.Context, m teaselstream.Msg) {
+	select {
+	case c.inbox <- m:
+	case <-ctx.Done():
+	}
+}
+
 func (c *controlLoop) run(ctx context.Context) {
 	t := time.NewTicker(controlPeriod)
 	defer t.Stop()
@@ -92,12 +100,12 @@
 		case <-ctx.Done():
 			return
 		case m := <-c.inbox:
-			c.handle(time.Now(), m)
+			c.handle(ctx, time.Now(), m)
 		case now := <-t.C:
-			c.execute(c.core.Update(now, teaselstream.Tick{}))
-			c.execute(c.tracker.Update(now, teaselstream.Tick{}))
-			c.execute(c.quotas.Update(now, teaselstream.Tick{}))
-			c.execute(c.decider.Update(now, cover.ViewTick{View: c.current(), Limited: c.limited}))
+			c.execute(ctx, c.core.Update(now, teaselstream.Tick{}))
+			c.execute(ctx, c.tracker.Update(now, teaselstream.Tick{}))
+			c.execute(ctx, c.quotas.Update(now, teaselstream.Tick{}))
+			c.execute(ctx, c.decider.Update(now, cover.ViewTick{View: c.current(), Limited: c.limited}))
 			if n := c.dropped.Swap(0); n > 0 {
 				c.log.Warn("ControlMessagesDropped", "count", n)
 			}
@@ -106,19 +114,19 @@
 }
 
 // handle passes a message to the state machine that it is for.
-func (c *controlLoop) handle(now time.Time, m teaselstream.Msg) {
+func (c *controlLoop) handle(ctx context.Context, now time.Time, m teaselstream.Msg) {
 	switch m := m.(type) {
 	case cover.Ended:
 		c.decider.Update(now, m)
 	case crash.Lost, crash.Answered, crash.ReportRead, crash.RecordRead:
-		c.execute(c.tracker.Update(now, m))
+		c.execute(ctx, c.tracker.Update(now, m))
 	case quota.Named, quota.ReportRead:
-		c.execute(c.quotas.Update(now, m))
+		c.execute(ctx, c.quotas.Update(now, m))
 	case fleet.PeersListed:
-		c.execute(c.core.Update(now, m))
-		c.execute(c.tracker.Update(now, crash.Peers{Self: c.vm, VMs: peerNames(m.Peers)}))
+		c.execute(ctx, c.core.Update(now, m))
+		c.execute(ctx, c.tracker.Update(now, crash.Peers{Self: c.vm, VMs: peerNames(m.Peers)}))
 	default:
-		c.execute(c.core.Update(now, m))
+		c.execute(ctx, c.core.Update(now, m))
 	}
 }
 
@@ -130,13 +138,13 @@
 	return names
 }
 
-func (c *controlLoop) execute(cmds []teaselstream.Cmd) {
+func (c *controlLoop) execute(ctx context.Context, cmds []teaselstream.Cmd) {
 	for _, cmd := range cmds {
 		switch x := cmd.(type) {
 		case fleet.PublishView:
 			c.view.Store(x.View)
 			c.onPublish(x.View)
-			c.execute(c.quotas.Update(x.View.At, quota.ViewChanged{View: x.View}))
+			c.execute(ctx, c.quotas.Update(x.View.At, quota.ViewChanged{View: x.View}))
 		case fleet.LogEvent:
 			c.logEvent(x)
 		case quota.SetParts:
@@ -158,7 +166,7 @@
 		case cover.Hold:
 			c.log.Info("OrderDecided", "server", string(x.Server), "range", x.Range.String(), "holds", x.Holds.String(),
 				"reason", x.Reason, "waitedMs", x.Waited.Milliseconds(), "rank", x.Rank)
-			go c.executeOrder(x)
+			go c.executeOrder(ctx, x)
 		}
 	}
 }
--- a/cmd/gate/order.go
+++ b/cmd/gate/order.go
@@ -24,15 +24,15 @@
 var errStateMismatch = errors.New("replica state differs from the expected state")
 
 // executeOrder executes one placement order and reports its result to cover.Decider.
-func (c *controlLoop) executeOrder(x cover.Hold) {
+func (c *controlLoop) executeOrder(ctx context.Context, x cover.Hold) {
 	err := c.orderRange(x)
 	if err != nil {
 		c.log.Warn("OrderFailed", "server", string(x.Server), "range", x.Range.String(), "error", err)
 	} else {
 		c.log.Info("OrderDone", "server", string(x.Server), "range", x.Range.String())
 	}
-	c.post(fleet.LayersOrdered{Server: x.Server})
-	c.post(cover.Ended{Server: x.Server, OK: err == nil})
+	c.postAll(ctx, fleet.LayersOrdered{Server: x.Server})
+	c.postAll(ctx, cover.Ended{Server: x.Server, OK: err == nil})
 }
 
 func (c *controlLoop) orderRange(x cover.Hold) error {
--- a/cmd/gate/serve.go
+++ b/cmd/gate/serve.go
@@ -91,7 +91,7 @@
 		go reports.Run(background)
 	}
 	go p.controlLoop.run(background)
-	go p.follower().Run(background)
+	go p.follower(background).Run(background)
 	go p.reload(background)
 	go p.closeExpired(background)
 	failed := make(chan error, 1)
@@ -152,11 +152,11 @@
 	p.budgets.Set(budgetFraction*b.RetryRatio, budgetFraction*b.RetrySlack/float64(max(len(v.Peers), minBudgetVMs)), b.RetryWindow)
 }
 
-func (p *process) follower() *watch.Follower {
+func (p *process) follower(ctx context.Context) *watch.Follower {
 	return &watch.Follower{
 		Directory: p.shared, RoutingKey: platform.RoutingKey, ReplicaPrefix: platform.ReplicaPrefix,
 		DecodeRouting: platform.DecodeRouting, DecodeReplica: platform.DecodeReplica,
-		Post: p.controlLoop.post, Rand: &globalRand{}, Log: p.log,
+		Post: func(m teaselstream.Msg) { p.controlLoop.postAll(ctx, m) }, Rand: &globalRand{}, Log: p.log,
 	}
 }
 
