faults: servers that leave and servers that ask to wait

The soak lets replicas leave, listed or only by their own word, and turn requests away with Retry-After, beside its other faults, and checks DRAIN and BUDGET from what callers and replicas see; VMs that were ended, paused or woken meanwhile are excused.

--- a/cmd/faults/caller.go
+++ b/cmd/faults/caller.go
@@ -22,6 +22,11 @@
 	// shortStream and longStream bound the number of events of a stream; replicas send one every 15 ms.
 	shortStream = 5
 	longStream  = 120
+	// drainTime is the platform's DrainMs.
+	drainTime = 2 * time.Second
+	// waitGrace is the time after a 503 with Retry-After from which requests count, and maxInWait the number that is allowed.
+	waitGrace = 500 * time.Millisecond
+	maxInWait = 2
 	// refusedWait is the wait after a refusal or an error, so that callers do not retry in a busy loop.
 	refusedWait = 50 * time.Millisecond
 )
@@ -38,6 +43,20 @@
 		orders  []order
 		counts  map[string]int
 		started int
+		// sent holds the VM and time of each request by its attempt id, and leaving the answers that said that a replica leaves.
+		sent    map[string]sentRequest
+		leaving []leavingAnswer
+	}
+
+	sentRequest struct {
+		vm *vm
+		at time.Time
+	}
+
+	leavingAnswer struct {
+		vm      *vm
+		replica string
+		at      time.Time
 	}
 
 	order struct {
@@ -100,13 +119,71 @@
 	}
 	q.Host = testHost
 	plat.SetRequestHeaders(q.Header, attempt, key, callerWait)
+	c.recordSent(attempt, sentRequest{v, time.Now()})
 	p, err := t.RoundTrip(q)
 	if err != nil {
 		return nil, fmt.Errorf("send request: %w", err)
 	}
+	if plat.SaysLeaving(p.Header) {
+		c.recordLeaving(leavingAnswer{v, plat.ReplicaID(p.Header), time.Now()})
+	}
 	return p, nil
 }
 
+// checkWaits records replicas that more than two requests of a VM reached while they had asked it to wait.
+func (c *callers) checkWaits(replicas []*plat.Replica) {
+	for _, r := range replicas {
+		reached := r.Reached()
+		for _, told := range r.TurnedAway() {
+			v, n := c.sent[told.Attempt].vm, 0
+			for _, a := range reached {
+				after := a.At.Sub(told.At)
+				if v != nil && c.sent[a.Attempt].vm == v && after > waitGrace && after < told.Wait && v.undisturbed(told.At, a.At) {
+					n++
+				}
+			}
+			if n > maxInWait {
+				c.recordViolation("replica %s asked %s to wait for %s, and %d requests reached it in that time", r.ID(), v.name, told.Wait, n)
+				break
+			}
+		}
+	}
+}
+
+func (c *callers) recordSent(attempt string, s sentRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sent == nil {
+		c.sent = make(map[string]sentRequest)
+	}
+	c.sent[attempt] = s
+}
+
+func (c *callers) recordLeaving(a leavingAnswer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = append(c.leaving, a)
+}
+
+// checkLeaving records requests that reached a replica although their VM had passed on, earlier than drainTime before they were sent,
+// that the replica leaves.
+func (c *callers) checkLeaving(replicas []*plat.Replica) {
+	for _, r := range replicas {
+		for _, a := range r.Reached() {
+			x, ok := c.sent[a.Attempt]
+			if !ok {
+				continue
+			}
+			for _, told := range c.leaving {
+				if told.replica == r.ID() && told.vm == x.vm && x.at.Sub(told.at) > drainTime && x.vm.undisturbed(told.at, a.At) {
+					c.recordViolation("request %s reached replica %s %s after %s had passed on that it leaves", a.Attempt, r.ID(), x.at.Sub(told.at), x.vm.name)
+					break
+				}
+			}
+		}
+	}
+}
+
 // promisesNotRun reports whether a status guarantees that the request has not run and never will.
 func promisesNotRun(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
--- a/cmd/faults/main.go
+++ b/cmd/faults/main.go
@@ -152,6 +152,8 @@
 // checkEnd makes the checks that are possible only at the end of a run.
 func (w *testRun) checkEnd() {
 	w.callers.checkOrders()
+	w.callers.checkLeaving(w.started)
+	w.callers.checkWaits(w.started)
 	for _, f := range w.fleet.CallerErrors() {
 		w.callers.recordViolation("replicas observed: %s", f)
 	}
--- a/cmd/faults/plan.go
+++ b/cmd/faults/plan.go
@@ -14,6 +14,12 @@
 	// minFaultTime and maxFaultTime bound the duration of a fault.
 	minFaultTime = 300 * time.Millisecond
 	maxFaultTime = 3 * time.Second
+	// leaveTime is how long a replica that leaves goes on serving after the end of the fault; the platform's replicas leave after the
+	// drain time and a little more.
+	leaveTime = 2500 * time.Millisecond
+	// minWait and maxWait bound the Retry-After of a replica that turns requests away.
+	minWait = time.Second
+	maxWait = 4 * time.Second
 	// minUndisturbed is the least number of the model's replicas without a fault.
 	minUndisturbed = 3
 )
@@ -90,6 +96,44 @@
 		}
 		return name, func() error { return w.replace(name) }
 	}},
+	{"replica leaves", func(w *testRun, r *rand.Rand) (string, func() error) {
+		name := w.replicaName(r)
+		if !w.claimReplica(name) {
+			return "", nil
+		}
+		// Whether or not the list shows it, the replica says so itself. It goes on serving until the fault ends.
+		if r.IntN(2) == 0 {
+			w.replicas[name].Drain()
+		} else {
+			w.replicas[name].DrainUnlisted()
+		}
+		return name, func() error {
+			time.Sleep(leaveTime)
+			if err := w.replicas[name].Kill(); err != nil {
+				return err
+			}
+			return w.replace(name)
+		}
+	}},
+	{"replica turns away", func(w *testRun, r *rand.Rand) (string, func() error) {
+		// A link that is disturbed delivers requests late, which does not show when they were sent.
+		name := w.replicaName(r)
+		if !w.claim("link " + name) {
+			return "", nil
+		}
+		if !w.claimReplica(name) {
+			w.release("link " + name)
+			return "", nil
+		}
+		wait := randomDuration(r, minWait, maxWait)
+		w.replicas[name].TurnAway(wait, maxFaultTime)
+		return name, func() error {
+			time.Sleep(wait)
+			w.release(name)
+			w.release("link " + name)
+			return nil
+		}
+	}},
 	{"configuration", func(w *testRun, r *rand.Rand) (string, func() error) {
 		w.version += 1 + r.IntN(3)
 		w.fleet.Configure(w.version, testKey, fmt.Sprintf("key-%d", w.version))
--- a/cmd/faults/test_run.go
+++ b/cmd/faults/test_run.go
@@ -46,6 +46,8 @@
 	claimed map[string]bool
 	// starts counts the starts of each replica, which gets a new id each time.
 	starts map[string]int
+	// started holds all replicas that ran.
+	started []*plat.Replica
 }
 
 func newTestRun(directory, program string) (*testRun, error) {
@@ -121,6 +123,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.replicas[name] = r
+	w.started = append(w.started, r)
 	return nil
 }
 
--- a/cmd/faults/vm.go
+++ b/cmd/faults/vm.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -35,6 +36,8 @@
 	exitExpected bool
 	// unexpected counts exits without such a signal.
 	unexpected int
+	// signalledAt holds when signals were sent that end, pause or wake the process.
+	signalledAt []time.Time
 }
 
 // vmAddresses is the number of addresses on which a VM listens.
@@ -114,11 +117,21 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.exitExpected = v.exitExpected || exits
+	if s != syscall.SIGHUP {
+		v.signalledAt = append(v.signalledAt, time.Now())
+	}
 	if err := v.command.Process.Signal(s); err != nil {
 		fmt.Printf("%s: signal %v not sent: %v\n", v.name, s, err)
 	}
 }
 
+// undisturbed reports whether the process was neither ended, paused nor woken between two times.
+func (v *vm) undisturbed(from, to time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !slices.ContainsFunc(v.signalledAt, func(at time.Time) bool { return at.After(from) && at.Before(to) })
+}
+
 // unexpectedExits returns the number of times that the process ended without a signal from this program.
 func (v *vm) unexpectedExits() int {
 	v.mu.Lock()
--- a/cmd/stand/plat/replica.go
+++ b/cmd/stand/plat/replica.go
@@ -78,7 +78,13 @@
 		// answers.
 		turnsAway      time.Duration
 		turnsAwayUntil time.Time
-		turnedAway     []Arrival
+		turnedAway     []Refusal
+	}
+
+	// Refusal is a request that a replica has turned away, and the Retry-After of its answer.
+	Refusal struct {
+		Arrival
+		Wait time.Duration
 	}
 
 	// Arrival is a request of a caller, or an order or report, that reached a replica.
@@ -299,10 +305,10 @@
 }
 
 // TurnedAway returns the requests that the replica has turned away with a Retry-After, in order.
-func (r *Replica) TurnedAway() []Arrival {
+func (r *Replica) TurnedAway() []Refusal {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append([]Arrival(nil), r.turnedAway...)
+	return append([]Refusal(nil), r.turnedAway...)
 }
 
 func (r *Replica) turnAway(w http.ResponseWriter, q *http.Request) bool {
@@ -313,7 +319,7 @@
 		return false
 	}
 	attempt := q.Header.Get("X-Attempt-Id")
-	r.turnedAway = append(r.turnedAway, Arrival{attempt, now})
+	r.turnedAway = append(r.turnedAway, Refusal{Arrival{attempt, now}, r.turnsAway})
 	w.Header().Set("X-Attempt-Id", attempt)
 	w.Header().Set("X-Not-Executed", "busy")
 	w.Header().Set("Retry-After", strconv.FormatFloat(r.turnsAway.Seconds(), 'f', -1, 64))
