watch: log when the store has come back from an older copy

The store client keeps the era of the last answer, StoreRestored is logged when it rises, and the era stands beside the revision in StoreLost and StoreRegained. No decision uses it yet.

--- a/id.go
+++ b/id.go
@@ -54,6 +54,10 @@
 	// Fencing is a fencing token: a number that grows with each new holder of a lease.
 	Fencing uint64
 
+	// Era counts how often the store has come back from an older copy, after which it gives revisions out again; 0 means that the store
+	// does not say.
+	Era uint64
+
 	// Revision is the store's version of a key; 0 means that the key is absent.
 	Revision uint64
 
--- a/store.go
+++ b/store.go
@@ -43,6 +43,8 @@
 	// Directory is a store whose keys can be listed and watched by prefix.
 	Directory interface {
 		Store
+		// Era returns the era of the store's last answer, or 0 before the first one.
+		Era() Era
 		// List returns all entries whose keys have a prefix, and the revision from which Follow returns later changes.
 		List(ctx context.Context, prefix string, f Freshness) ([]Entry, Revision, error)
 		// Follow waits for changes of keys with a prefix, and returns them with the revision for the next call.
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -41,6 +41,8 @@
 		Log           *slog.Logger
 
 		revision teaselstream.Revision
+		// era is the newest era that was logged.
+		era teaselstream.Era
 		// answeredAt is when the store last answered.
 		answeredAt     time.Time
 		peers          map[string]fleet.Peer
@@ -57,6 +59,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		err := f.step(ctx, listed)
+		f.logEra()
 		wait := followInterval - time.Since(began)
 		switch {
 		case err == nil:
@@ -78,6 +81,15 @@
 	}
 }
 
+// logEra logs that the store has come back from an older copy.
+func (f *Follower) logEra() {
+	era := f.Directory.Era()
+	if f.era != 0 && era > f.era {
+		f.Log.Warn("StoreRestored", "era", uint64(era), "before", uint64(f.era), "revision", uint64(f.revision))
+	}
+	f.era = max(f.era, era)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
@@ -244,7 +256,7 @@
 	if f.storeLost {
 		return
 	}
-	f.Log.Warn("StoreLost", "error", err, "heldMs", time.Since(f.storeChangedAt).Milliseconds(), "revision", uint64(f.revision))
+	f.Log.Warn("StoreLost", "error", err, "heldMs", time.Since(f.storeChangedAt).Milliseconds(), "revision", uint64(f.revision), "era", uint64(f.era))
 	f.storeLost, f.storeChangedAt = true, time.Now()
 	f.Post(fleet.StoreLost{})
 }
@@ -253,7 +265,7 @@
 	if !f.storeLost {
 		return
 	}
-	f.Log.Info("StoreRegained", "lostMs", time.Since(f.storeChangedAt).Milliseconds(), "revision", uint64(f.revision))
+	f.Log.Info("StoreRegained", "lostMs", time.Since(f.storeChangedAt).Milliseconds(), "revision", uint64(f.revision), "era", uint64(f.era))
 	f.storeLost, f.storeChangedAt = false, time.Now()
 	f.Post(fleet.StoreRegained{})
 }
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -52,6 +52,8 @@
 	return f.entries, after + 1, f.err
 }
 
+func (s *scriptedStore) Era() teaselstream.Era { return 0 }
+
 func (s *scriptedStore) Grant(context.Context, time.Duration) (teaselstream.LeaseID, error) {
 	s.granted++
 	return teaselstream.LeaseID(s.granted), nil
