--- a/cmd/gate/path_test.go
+++ b/cmd/gate/path_test.go
@@ -124,7 +124,7 @@
 func (s *testPlatform) startGate(t *testing.T, n int, store string) {
 	t.Helper()
 	var addresses []any
-	for range 2 {
+	for range 3 {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
@@ -135,7 +135,7 @@
 		}
 	}
 	file := filepath.Join(t.TempDir(), "gate.ini")
-	text := fmt.Sprintf("[VM]\nName = vm%d\nDomain = zone-a\n[Listen]\nCallers = %s\nReady = %s\n[Store]\nAddresses = %s\n[Bounds]\nRetrySlack = 600\n", n, addresses[0], addresses[1], store)
+	text := fmt.Sprintf("[VM]\nName = vm%d\nDomain = zone-a\n[Listen]\nCallers = %s\nReady = %s\nPeers = %s\n[Store]\nAddresses = %s\n[Bounds]\nRetrySlack = 600\n", n, addresses[0], addresses[1], addresses[2], store)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/stand/plat/store.go
+++ b/cmd/stand/plat/store.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -24,6 +26,16 @@
 		down bool
 		// compactedRevision is the revision up to which the history is dropped; a watch from before it gets 410.
 		compactedRevision uint64
+		// restored counts how often the store came back from an older copy.
+		restored uint64
+	}
+
+	// Copy is the state of a store at one moment, from which it can come back.
+	Copy struct {
+		revision uint64
+		items    map[string]*item
+		history  []item
+		ttl      map[uint64]time.Duration
 	}
 
 	item struct {
@@ -83,6 +95,42 @@
 	s.notifyWatchers()
 }
 
+// Copy returns a copy of the store.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Copy{revision: s.revision, items: maps.Clone(s.items), history: slices.Clone(s.history), ttl: make(map[uint64]time.Duration)}
+	for id := range s.leases {
+		c.ttl[id] = s.ttl[id]
+	}
+	return c
+}
+
+// Restore replaces the store by an older copy. What was written since is gone, leases too, and revisions go back to those of the copy.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.leases {
+		t.Stop()
+	}
+	s.revision, s.items, s.history = c.revision, maps.Clone(c.items), slices.Clone(c.history)
+	s.leases, s.ttl = make(map[uint64]*time.Timer), maps.Clone(c.ttl)
+	for id, ttl := range c.ttl {
+		s.leases[id] = time.AfterFunc(ttl, func() { s.expireLease(id) })
+	}
+	s.restored++
+	s.notifyWatchers()
+}
+
+// firstEra is the value of Store-Era before the first restore.
+const firstEra = 1
+
+func (s *Store) era() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strconv.FormatUint(firstEra+s.restored, 10)
+}
+
 // Keys returns the keys with a prefix in order.
 func (s *Store) Keys(prefix string) []string {
 	s.mu.Lock()
@@ -133,6 +181,7 @@
 	s.mu.Lock()
 	down := s.down
 	s.mu.Unlock()
+	w.Header().Set("Store-Era", s.era())
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -211,9 +260,12 @@
 	q := r.URL.Query()
 	after := parseUint(q.Get("After"))
 	limit := time.After(time.Duration(parseUint(q.Get("WaitMs"))) * time.Millisecond)
+	s.mu.Lock()
+	began := s.restored
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		if after < s.compactedRevision || s.down {
+		if after < s.compactedRevision || after > s.revision || s.restored != began || s.down {
 			status := http.StatusGone
 			if s.down {
 				status = http.StatusServiceUnavailable
