watch, share: a place in the store's history names its era

What callers saw: routes that had been added were not served, and removed ones were, on some VMs for good.

Cause: a VM took the revision up to which it had read for a place in the history of a store that had come back from an older copy. The store gives revisions out again, so that a watch from it finds history that does not continue what the VM knows, without 410 once the store has passed it; a reader with lower revisions found nothing newer for it. Class of fault: a number of the store's history is taken for a measure of newness across a restart of that history.

Change: Position is era and revision. A reader of an earlier era serves no VM of a later one. A first list that may be stale is repeated as current once the store has ever been restored. Missing entries count as after an outage.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -105,6 +105,10 @@
 		c.storeLost, c.storeChangedAt, c.dirty = true, now, true
 	case StoreRegained:
 		c.storeLost, c.storeChangedAt, c.storeReturned, c.dirty = false, now, true, true
+	case StoreRestored:
+		if !c.storeLost {
+			c.storeChangedAt, c.storeReturned, c.dirty = now, true, true
+		}
 	case ReportReceived:
 		cmds = c.applyReport(now, m)
 	case LeavingStated:
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -80,7 +80,7 @@
 }
 
 // message parses "listed NAME[@HEARTBEATS]...", "changed NAME [from-to] [born=N] [beat=N] [draining] [age=D]", "removed NAME [age=D]", "reported NAME from-to
-// [born=N]", "stated NAME [born=N]", "silent NAME [born=N] [ended]", "refused NAME [misplaced]", "lost", "regained", "routing N" or "tick".
+// [born=N]", "stated NAME [born=N]", "silent NAME [born=N] [ended]", "refused NAME [misplaced]", "lost", "regained", "restored", "routing N" or "tick".
 func message(t *testing.T, f []string) teaselstream.Msg {
 	var id teaselstream.ServerID
 	if len(f) > 1 {
@@ -115,6 +115,8 @@
 		return StoreLost{}
 	case "regained":
 		return StoreRegained{}
+	case "restored":
+		return StoreRestored{}
 	case "routing":
 		var n teaselstream.Generation
 		if _, err := fmt.Sscan(f[1], &n); err != nil {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -40,6 +40,9 @@
 	// StoreRegained reports that the store answers again.
 	StoreRegained struct{}
 
+	// StoreRestored reports that the store has come back from an older copy. Entries that are missing from it may be written again.
+	StoreRestored struct{}
+
 	// ReportReceived carries a replica's own report.
 	ReportReceived struct {
 		Server teaselstream.ServerID
--- a/outcome.go
+++ b/outcome.go
@@ -27,7 +27,7 @@
 	ErrUnavailable = errors.New("unavailable")
 	// ErrOutcomeUnknown reports a failed call that may have had an effect.
 	ErrOutcomeUnknown = errors.New("outcome unknown")
-	// ErrCompacted reports that the store has deleted the changes since the given revision.
+	// ErrCompacted reports that the store does not have the changes since the given position any more.
 	ErrCompacted = errors.New("history compacted")
 	// ErrFenced reports an order that was refused because its fencing number is too old.
 	ErrFenced = errors.New("fencing number too old")
--- a/share/directory.go
+++ b/share/directory.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -77,7 +78,9 @@
 	// readerAnswer is a reader's answer to another VM.
 	readerAnswer struct {
 		Entries []teaselstream.Entry
-		At      teaselstream.Revision
+		At      teaselstream.Position
+		// Whole means that Entries holds all entries, since the reader does not know all changes since the caller's position.
+		Whole bool
 		// Age is how long ago the store itself answered, so that ages do not add up when one reader asks another.
 		Age time.Duration
 	}
@@ -85,9 +88,19 @@
 
 var errNoReader = errors.New("no reader answers")
 
+// List returns all entries, as teaselstream.Directory describes, and keeps them for other VMs.
+func (d *Directory) List(ctx context.Context, prefix string, f teaselstream.Freshness) ([]teaselstream.Entry, teaselstream.Position, error) {
+	entries, at, err := d.Directory.List(ctx, prefix, f)
+	if err != nil {
+		return nil, teaselstream.Position{}, fmt.Errorf("list store: %w", err)
+	}
+	d.changes.SetState(at, entries)
+	return entries, at, nil
+}
+
 // Follow waits for changes below a prefix, as teaselstream.Directory describes. Its error wraps ErrUnavailable without a call
 // if no reader answers and it is too soon for a store call of this VM.
-func (d *Directory) Follow(ctx context.Context, prefix string, after teaselstream.Revision, wait time.Duration) ([]teaselstream.Entry, teaselstream.Revision, error) {
+func (d *Directory) Follow(ctx context.Context, prefix string, after teaselstream.Position, wait time.Duration) ([]teaselstream.Entry, teaselstream.Position, error) {
 	r := d.role()
 	if d.reader.Swap(r.reader) != r.reader {
 		d.Log.Info("StoreReader", "reader", r.reader)
@@ -98,13 +111,9 @@
 		}
 		x, err := d.askReader(ctx, p, prefix, after)
 		if err == nil {
-			now := time.Now()
-			d.changes.Add(now, after, x.At, x.Entries)
-			d.changes.SetUpdatedAt(now.Add(-x.Age))
-			d.answeredAt = now.Add(-x.Age)
-			return x.Entries, x.At, nil
+			return d.apply(p, after, x)
 		}
-		d.Log.Info("ReaderFailed", "reader", string(p.Name), "error", err.Error(), "revision", uint64(after))
+		d.Log.Info("ReaderFailed", "reader", string(p.Name), "error", err.Error(), "revision", uint64(after.Revision), "era", uint64(after.Era))
 		if !errors.Is(err, errNoReader) {
 			d.pauseReader(p.Name)
 		}
@@ -113,13 +122,13 @@
 	if r.sharing {
 		wait = min(wait, readerFollowWait)
 		if !r.reader && !r.standby && began.Before(d.nextStoreCall) {
-			return nil, 0, fmt.Errorf("follow store: %w: %w", teaselstream.ErrUnavailable, errNoReader)
+			return nil, teaselstream.Position{}, fmt.Errorf("follow store: %w: %w", teaselstream.ErrUnavailable, errNoReader)
 		}
 		d.nextStoreCall = began.Add(time.Duration(r.vms) * storeCallSpacing)
 	}
 	entries, at, err := d.Directory.Follow(ctx, prefix, after, wait)
 	if err != nil {
-		return nil, 0, fmt.Errorf("follow store: %w", err)
+		return nil, teaselstream.Position{}, fmt.Errorf("follow store: %w", err)
 	}
 	now := time.Now()
 	d.nextStoreCall = time.Time{}
@@ -128,6 +137,29 @@
 	return latestPerKey(entries), at, nil
 }
 
+// apply records a reader's answer and returns the changes in it.
+func (d *Directory) apply(p fleet.Peer, after teaselstream.Position, x readerAnswer) ([]teaselstream.Entry, teaselstream.Position, error) {
+	now := time.Now()
+	entries := x.Entries
+	if x.Whole {
+		var age time.Duration
+		if !d.answeredAt.IsZero() {
+			age = now.Sub(d.answeredAt)
+		}
+		var ok bool
+		if entries, ok = d.changes.Replace(now, x.At, x.Entries, age); !ok {
+			return nil, teaselstream.Position{}, fmt.Errorf("all entries from reader %s: %w", p.Name, teaselstream.ErrCompacted)
+		}
+		d.Log.Info("StateFromReader", "reader", string(p.Name), "changes", len(entries), "revision", uint64(x.At.Revision), "era", uint64(x.At.Era),
+			"before", uint64(after.Revision), "eraBefore", uint64(after.Era))
+	} else {
+		d.changes.Add(now, after, x.At, x.Entries)
+	}
+	d.changes.SetUpdatedAt(now.Add(-x.Age))
+	d.answeredAt = now.Add(-x.Age)
+	return entries, x.At, nil
+}
+
 func (d *Directory) pauseReader(id teaselstream.VMID) {
 	if d.pausedUntil == nil {
 		d.pausedUntil = make(map[teaselstream.VMID]time.Time)
@@ -181,7 +213,7 @@
 	return r
 }
 
-func (d *Directory) askReader(ctx context.Context, p fleet.Peer, prefix string, after teaselstream.Revision) (readerAnswer, error) {
+func (d *Directory) askReader(ctx context.Context, p fleet.Peer, prefix string, after teaselstream.Position) (readerAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, readerCallTimeout)
 	defer cancel()
 	q, a := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -189,7 +221,8 @@
 	defer fasthttp.ReleaseResponse(a)
 	q.SetRequestURI("http://" + p.Address + changesPath)
 	q.URI().QueryArgs().Set("prefix", prefix)
-	q.URI().QueryArgs().SetUint("after", int(after))
+	q.URI().QueryArgs().Set("after", strconv.FormatUint(uint64(after.Revision), 10))
+	q.URI().QueryArgs().Set("era", strconv.FormatUint(uint64(after.Era), 10))
 	if err := d.conn.Do(ctx, q, a); err != nil {
 		return readerAnswer{}, fmt.Errorf("ask reader %s: %w", p.Name, err)
 	}
--- a/share/server.go
+++ b/share/server.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -23,13 +24,14 @@
 }
 
 func (d *Directory) handle(c *fasthttp.RequestCtx) {
-	after, err := c.QueryArgs().GetUint("after")
-	if err != nil || string(c.Path()) != changesPath {
+	revision, err := strconv.ParseUint(string(c.QueryArgs().Peek("after")), 10, 64)
+	era, eraErr := strconv.ParseUint(string(c.QueryArgs().Peek("era")), 10, 64)
+	if err != nil || eraErr != nil || string(c.Path()) != changesPath {
 		c.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
 	prefix := string(c.QueryArgs().Peek("prefix"))
-	x, status := d.awaitChanges(prefix, teaselstream.Revision(after))
+	x, status := d.awaitChanges(prefix, teaselstream.Position{Era: teaselstream.Era(era), Revision: teaselstream.Revision(revision)})
 	if status != fasthttp.StatusOK {
 		c.SetStatusCode(status)
 		return
@@ -43,9 +45,10 @@
 	c.SetBody(body)
 }
 
-// awaitChanges waits up to readerHoldTime for changes after a revision and returns them with an HTTP status: 410 if the log does
-// not reach back that far, 503 if the store's last answer is older than maxStoreAge.
-func (d *Directory) awaitChanges(prefix string, after teaselstream.Revision) (readerAnswer, int) {
+// awaitChanges waits up to readerHoldTime for changes after a position and returns them with an HTTP status. If the log does not reach
+// back that far, or is of a later era, it returns all entries at once, or 410 if they are not known or the log is of an earlier era.
+// The status is 503 if the store's last answer is older than maxStoreAge.
+func (d *Directory) awaitChanges(prefix string, after teaselstream.Position) (readerAnswer, int) {
 	limit := time.NewTimer(min(readerHoldTime, maxStoreAge-time.Since(d.changes.UpdatedAt())))
 	defer limit.Stop()
 	for {
@@ -56,10 +59,13 @@
 		changed := d.changes.NextChange()
 		entries, at, ok := d.changes.Since(time.Now(), prefix, after)
 		if !ok {
-			return readerAnswer{}, fasthttp.StatusGone
+			if entries, at, ok = d.changes.State(prefix, after); !ok {
+				return readerAnswer{}, fasthttp.StatusGone
+			}
+			return readerAnswer{Entries: entries, At: at, Whole: true, Age: age}, fasthttp.StatusOK
 		}
 		if len(entries) > 0 {
-			return readerAnswer{entries, at, age}, fasthttp.StatusOK
+			return readerAnswer{Entries: entries, At: at, Age: age}, fasthttp.StatusOK
 		}
 		select {
 		case <-changed:
@@ -67,7 +73,7 @@
 			if age = time.Since(d.changes.UpdatedAt()); age >= maxStoreAge {
 				return readerAnswer{}, fasthttp.StatusServiceUnavailable
 			}
-			return readerAnswer{nil, at, age}, fasthttp.StatusOK
+			return readerAnswer{At: at, Age: age}, fasthttp.StatusOK
 		}
 	}
 }
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -25,6 +25,8 @@
 	// unknownAge is the age of the entries of the first list. The VM cannot know how long a server has been draining and
 	// assumes that its drain time is over.
 	unknownAge = time.Minute
+	// firstEra is the era of a store that has never come back from an older copy.
+	firstEra = 1
 )
 
 type (
@@ -40,9 +42,8 @@
 		Rand          teaselstream.Rand
 		Log           *slog.Logger
 
-		revision teaselstream.Revision
-		// era is the newest era that was logged.
-		era teaselstream.Era
+		// position is the place in the store's history up to which this VM has read.
+		position teaselstream.Position
 		// answeredAt is when the store last answered.
 		answeredAt     time.Time
 		peers          map[string]fleet.Peer
@@ -59,7 +60,6 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		err := f.step(ctx, listed)
-		f.logEra()
 		wait := followInterval - time.Since(began)
 		switch {
 		case err == nil:
@@ -70,7 +70,7 @@
 			listed, failures, f.answeredAt = true, 0, time.Now()
 			f.markRegained()
 		case errors.Is(err, teaselstream.ErrCompacted):
-			f.Log.Warn("StoreHistoryLost", "revision", uint64(f.revision))
+			f.Log.Warn("StoreHistoryLost", "error", err.Error(), "revision", uint64(f.position.Revision), "era", uint64(f.position.Era))
 			listed, wait = false, 0
 		default:
 			failures++
@@ -81,15 +81,6 @@
 	}
 }
 
-// logEra logs that the store has come back from an older copy.
-func (f *Follower) logEra() {
-	era := f.Directory.Era()
-	if f.era != 0 && era > f.era {
-		f.Log.Warn("StoreRestored", "era", uint64(era), "before", uint64(f.era), "revision", uint64(f.revision))
-	}
-	f.era = max(f.era, era)
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
@@ -106,13 +97,13 @@
 	if !listed {
 		return f.list(ctx)
 	}
-	entries, revision, err := f.Directory.Follow(ctx, "", f.revision, followWait)
+	entries, position, err := f.Directory.Follow(ctx, "", f.position, followWait)
 	if err != nil {
 		return err
 	}
-	f.revision = revision
 	// The core must learn that the store answers before it handles removals, which may be due to the outage.
 	f.markRegained()
+	f.moveTo(position)
 	peers := false
 	for _, e := range entries {
 		peers = f.apply(e) || peers
@@ -130,12 +121,16 @@
 	if f.answeredAt.IsZero() {
 		freshness = teaselstream.Stale
 	}
-	entries, revision, err := f.Directory.List(ctx, "", freshness)
+	entries, position, err := f.Directory.List(ctx, "", freshness)
+	if err == nil && freshness == teaselstream.Stale && position.Era > firstEra {
+		// A stale list may show the state of an earlier era, and the era beside it is not necessarily its own.
+		entries, position, err = f.Directory.List(ctx, "", teaselstream.Current)
+	}
 	if err != nil {
 		return err
 	}
 	f.markRegained()
-	f.revision = revision
+	f.moveTo(position)
 	f.peers = make(map[string]fleet.Peer)
 	listed := fleet.ReplicasListed{Age: unknownAge}
 	if !f.answeredAt.IsZero() {
@@ -153,6 +148,16 @@
 	return nil
 }
 
+// moveTo sets the position up to which this VM has read, and tells the core if the store has come back from an older copy.
+func (f *Follower) moveTo(position teaselstream.Position) {
+	if f.position.Era != 0 && position.Era != f.position.Era {
+		f.Log.Warn("StoreRestored", "era", uint64(position.Era), "revision", uint64(position.Revision),
+			"eraBefore", uint64(f.position.Era), "before", uint64(f.position.Revision))
+		f.Post(fleet.StoreRestored{})
+	}
+	f.position = position
+}
+
 // apply posts the message for one entry and reports whether the list of VMs changed.
 func (f *Follower) apply(e teaselstream.Entry) bool {
 	switch {
@@ -180,7 +185,7 @@
 	switch {
 	case e.Key == CrashRecordKey:
 		if r, ok := decode[crash.Record](f.Log, e); ok {
-			f.Post(crash.RecordRead{Record: r, Revision: e.Revision})
+			f.Post(crash.RecordRead{Record: r, Revision: e.At.Revision})
 		}
 	case strings.HasPrefix(e.Key, CrashReportPrefix):
 		if r, ok := decode[crash.Report](f.Log, e); ok {
@@ -196,7 +201,7 @@
 // decode decodes an entry that a VM has written.
 func decode[T any](log *slog.Logger, e teaselstream.Entry) (value T, ok bool) {
 	if err := json.Unmarshal(e.Value, &value); err != nil {
-		log.Warn("ReportUnreadable", "key", e.Key, "revision", uint64(e.Revision), "error", err)
+		log.Warn("ReportUnreadable", "key", e.Key, "revision", uint64(e.At.Revision), "error", err)
 		return value, false
 	}
 	return value, true
@@ -204,12 +209,12 @@
 
 func (f *Follower) applyRouting(e teaselstream.Entry) {
 	if e.Deleted {
-		f.Log.Warn("RoutingRemoved", "revision", uint64(e.Revision))
+		f.Log.Warn("RoutingRemoved", "revision", uint64(e.At.Revision))
 		return
 	}
 	r, err := f.DecodeRouting(e.Value)
 	if err != nil {
-		f.Log.Error("RoutingUnreadable", "revision", uint64(e.Revision), "error", err)
+		f.Log.Error("RoutingUnreadable", "revision", uint64(e.At.Revision), "error", err)
 		return
 	}
 	f.Post(fleet.RoutingRead{Routing: r})
@@ -218,7 +223,7 @@
 func (f *Follower) decodeReplica(e teaselstream.Entry) (teaselstream.Replica, bool) {
 	r, err := f.DecodeReplica(e.Key, e.Value)
 	if err != nil {
-		f.Log.Warn("ReplicaEntryUnreadable", "key", e.Key, "revision", uint64(e.Revision), "error", err)
+		f.Log.Warn("ReplicaEntryUnreadable", "key", e.Key, "revision", uint64(e.At.Revision), "error", err)
 		return r, false
 	}
 	return r, true
@@ -256,7 +261,7 @@
 	if f.storeLost {
 		return
 	}
-	f.Log.Warn("StoreLost", "error", err, "heldMs", time.Since(f.storeChangedAt).Milliseconds(), "revision", uint64(f.revision), "era", uint64(f.era))
+	f.Log.Warn("StoreLost", "error", err, "heldMs", time.Since(f.storeChangedAt).Milliseconds(), "revision", uint64(f.position.Revision), "era", uint64(f.position.Era))
 	f.storeLost, f.storeChangedAt = true, time.Now()
 	f.Post(fleet.StoreLost{})
 }
@@ -265,7 +270,7 @@
 	if !f.storeLost {
 		return
 	}
-	f.Log.Info("StoreRegained", "lostMs", time.Since(f.storeChangedAt).Milliseconds(), "revision", uint64(f.revision), "era", uint64(f.era))
+	f.Log.Info("StoreRegained", "lostMs", time.Since(f.storeChangedAt).Milliseconds(), "revision", uint64(f.position.Revision), "era", uint64(f.position.Era))
 	f.storeLost, f.storeChangedAt = false, time.Now()
 	f.Post(fleet.StoreRegained{})
 }
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -33,14 +33,16 @@
 type follow struct {
 	entries []teaselstream.Entry
 	err     error
+	// restored is the number of times that the store comes back from an older copy before the answer.
+	restored teaselstream.Era
 }
 
-func (s *scriptedStore) List(_ context.Context, _ string, f teaselstream.Freshness) ([]teaselstream.Entry, teaselstream.Revision, error) {
+func (s *scriptedStore) List(_ context.Context, _ string, f teaselstream.Freshness) ([]teaselstream.Entry, teaselstream.Position, error) {
 	s.listed = append(s.listed, f)
-	return s.entries, 10, nil
+	return s.entries, teaselstream.Position{Era: 1, Revision: 10}, nil
 }
 
-func (s *scriptedStore) Follow(_ context.Context, _ string, after teaselstream.Revision, _ time.Duration) ([]teaselstream.Entry, teaselstream.Revision, error) {
+func (s *scriptedStore) Follow(_ context.Context, _ string, after teaselstream.Position, _ time.Duration) ([]teaselstream.Entry, teaselstream.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.follows) == 0 {
@@ -49,7 +51,9 @@
 	}
 	f := s.follows[0]
 	s.follows = s.follows[1:]
-	return f.entries, after + 1, f.err
+	after.Revision++
+	after.Era += f.restored
+	return f.entries, after, f.err
 }
 
 func (s *scriptedStore) Era() teaselstream.Era { return 0 }
@@ -74,7 +78,7 @@
 }
 
 // Guards against changes that are lost when the store compacts its history or does not answer, against an unreadable entry
-// that hides the others, and against changes that reach the core before the message that the store was lost or regained.
+// that hides the others, and against changes that reach the core before the message that the store was lost, regained or restored.
 func TestFollower(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &scriptedStore{done: cancel, entries: []teaselstream.Entry{
@@ -83,6 +87,7 @@
 		{entries: []teaselstream.Entry{{Key: "srv/b"}, {Key: "srv/bad"}, {Key: "srv/a", Deleted: true}, {Key: "other"}}},
 		{err: teaselstream.ErrUnavailable},
 		{entries: []teaselstream.Entry{{Key: "cfg", Value: []byte("2")}, {Key: "vm/x", Deleted: true}}},
+		{entries: []teaselstream.Entry{{Key: "srv/b", Deleted: true}}, restored: 1},
 		{err: teaselstream.ErrCompacted},
 	}}
 	var got []string
@@ -100,7 +105,7 @@
 		Post: func(m teaselstream.Msg) { got = append(got, describe(m)) },
 	}
 	f.Run(ctx)
-	want := "config 1; list [a]; 1 VMs; changed b; removed a; lost; regained; config 2; 0 VMs; config 1; list [a]; 1 VMs"
+	want := "config 1; list [a]; 1 VMs; changed b; removed a; lost; regained; config 2; 0 VMs; restored; removed b; restored; config 1; list [a]; 1 VMs"
 	if text := strings.Join(got, "; "); text != want {
 		t.Errorf("messages:\n%s\nwant:\n%s", text, want)
 	}
@@ -130,6 +135,8 @@
 		return "lost"
 	case fleet.StoreRegained:
 		return "regained"
+	case fleet.StoreRestored:
+		return "restored"
 	}
 	return fmt.Sprintf("%T", m)
 }
