watch: write what a restored store has lost

Cause: a VM took a lease that is kept alive for its entry being there, and a report once written for being there. A store that comes back from an older copy may hold the lease without the entry, and reports go with an earlier lease that ends; nobody else writes them. Class of fault: the VM's memory of a write is taken for the state of the store.

Change: a VM registers again if the era has risen since its lease was granted, at a random time within a second of reading it, and writes its last reports again under a new lease.

Evidence: TestRegistrar and TestPublisher fail without the change (two leases instead of three; the last value is not written).

--- a/cmd/gate/serve.go
+++ b/cmd/gate/serve.go
@@ -91,7 +91,9 @@
 		go reports.Run(background)
 	}
 	go p.controlLoop.run(background)
-	go p.follower(background).Run(background)
+	follower := p.follower(background)
+	follower.Restored = registrar.StoreRestored
+	go follower.Run(background)
 	go p.reload(background)
 	go p.closeExpired(background)
 	failed := make(chan error, 1)
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -39,8 +39,10 @@
 		DecodeRouting func(value []byte) (*teaselstream.Routing, error)
 		DecodeReplica func(key string, value []byte) (teaselstream.Replica, error)
 		Post          func(teaselstream.Msg)
-		Rand          teaselstream.Rand
-		Log           *slog.Logger
+		// Restored is called when the store has come back from an older copy; nil means that nobody has to know.
+		Restored func()
+		Rand     teaselstream.Rand
+		Log      *slog.Logger
 
 		// position is the place in the store's history up to which this VM has read.
 		position teaselstream.Position
@@ -154,6 +156,9 @@
 		f.Log.Warn("StoreRestored", "era", uint64(position.Era), "revision", uint64(position.Revision),
 			"eraBefore", uint64(f.position.Era), "before", uint64(f.position.Revision))
 		f.Post(fleet.StoreRestored{})
+		if f.Restored != nil {
+			f.Restored()
+		}
 	}
 	f.position = position
 }
--- a/watch/publish.go
+++ b/watch/publish.go
@@ -23,6 +23,8 @@
 	publishTimeout = time.Second
 	// maxPublishBackoff bounds the wait after a failed write. A report matters for some seconds.
 	maxPublishBackoff = 2 * time.Second
+	// leaseCheckInterval is the time between two looks whether the VM has another lease.
+	leaseCheckInterval = time.Second
 )
 
 // Publisher writes the newest value of one key, of which this VM is the only writer, under the VM's lease.
@@ -36,9 +38,11 @@
 
 	mu      sync.Mutex
 	pending []byte
-	changed chan struct{}
-	// revision is that of this VM's last write. Only Run uses it.
+	changed alarm
+	// revision is that of this VM's last write, written its value and lease its lease. Only Run uses them.
 	revision teaselstream.Revision
+	written  []byte
+	lease    teaselstream.LeaseID
 }
 
 var errNoLease = errors.New("VM is not registered")
@@ -51,12 +55,9 @@
 		return
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.pending = value
-	if p.changed != nil {
-		close(p.changed)
-		p.changed = nil
-	}
+	p.mu.Unlock()
+	p.changed.ring()
 }
 
 // Run writes values until ctx ends. A failed write is repeated after a backoff.
@@ -80,26 +81,22 @@
 	}
 }
 
-// next waits for a value to write; ok is false if ctx ends before.
+// next waits for a value to write, which is the last one again if the VM's lease is another one by now: the value went with the
+// earlier lease. ok is false if ctx ends before.
 func (p *Publisher) next(ctx context.Context) (value []byte, ok bool) {
-	for {
+	for ctx.Err() == nil {
 		p.mu.Lock()
 		value, p.pending = p.pending, nil
+		p.mu.Unlock()
+		if lease := p.Lease(); value == nil && p.written != nil && lease != 0 && lease != p.lease {
+			value = p.written
+		}
 		if value != nil {
-			p.mu.Unlock()
 			return value, true
 		}
-		if p.changed == nil {
-			p.changed = make(chan struct{})
-		}
-		changed := p.changed
-		p.mu.Unlock()
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return nil, false
-		}
+		p.changed.wait(ctx, leaseCheckInterval)
 	}
+	return nil, false
 }
 
 // restore queues a value again that was not written, unless there is a newer one.
@@ -133,6 +130,6 @@
 	if err != nil {
 		return fmt.Errorf("write value: %w", err)
 	}
-	p.revision = revision
+	p.revision, p.written, p.lease = revision, value, lease
 	return nil
 }
--- a/watch/register.go
+++ b/watch/register.go
@@ -21,6 +21,9 @@
 	// renewInterval is the time between renewals. A lost one is repeated after a short backoff, so that the lease survives
 	// several.
 	renewInterval = 4500 * time.Millisecond
+	// reregisterSpread bounds the random delay after which a VM registers again when the store has come back from an older copy, since
+	// all VMs do so then.
+	reregisterSpread = time.Second
 )
 
 // Registrar keeps this VM's entry in the store while the VM runs.
@@ -31,6 +34,10 @@
 	Log       *slog.Logger
 
 	lease teaselstream.LeaseID
+	// era is that of the store when the lease was granted.
+	era teaselstream.Era
+	// restored is filled when the store has come back from an older copy.
+	restored alarm
 	// current is the lease for other goroutines.
 	current atomic.Uint64
 }
@@ -38,6 +45,9 @@
 // Lease returns the lease of this VM's entry, or 0 while it has none. It may be called concurrently.
 func (r *Registrar) Lease() teaselstream.LeaseID { return teaselstream.LeaseID(r.current.Load()) }
 
+// StoreRestored makes the VM register again soon. It may be called concurrently.
+func (r *Registrar) StoreRestored() { r.restored.ring() }
+
 // Run keeps the entry until ctx ends; the entry then expires with its lease.
 func (r *Registrar) Run(ctx context.Context) {
 	failures := 0
@@ -52,17 +62,21 @@
 		} else {
 			failures = 0
 		}
-		sleep(ctx, wait)
+		if r.restored.wait(ctx, wait) {
+			sleep(ctx, time.Duration(r.Rand.Float64()*float64(reregisterSpread)))
+		}
 	}
 }
 
 func (r *Registrar) step(ctx context.Context) error {
 	if r.lease != 0 {
 		err := r.Directory.KeepAlive(ctx, r.lease)
-		if !errors.Is(err, teaselstream.ErrNotFound) {
+		// The copy from which a store has come back may hold the lease without the entry.
+		restored := err == nil && r.Directory.Era() != r.era
+		if !restored && !errors.Is(err, teaselstream.ErrNotFound) {
 			return err
 		}
-		r.Log.Warn("RegistrationLapsed", "lease", uint64(r.lease))
+		r.Log.Warn("RegistrationLapsed", "lease", uint64(r.lease), "restored", restored)
 		r.lease = 0
 		r.current.Store(0)
 	}
@@ -70,10 +84,11 @@
 	if err != nil {
 		return fmt.Errorf("register VM: %w", err)
 	}
+	era := r.Directory.Era()
 	if err := r.write(ctx, lease); err != nil {
 		return fmt.Errorf("register VM: %w", err)
 	}
-	r.lease = lease
+	r.lease, r.era = lease, era
 	r.current.Store(uint64(lease))
 	r.Log.Info("Registered", "lease", uint64(lease))
 	return nil
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -28,6 +28,7 @@
 	granted int
 	swaps   []teaselstream.Revision
 	keep    error
+	era     teaselstream.Era
 }
 
 type follow struct {
@@ -56,7 +57,7 @@
 	return f.entries, after, f.err
 }
 
-func (s *scriptedStore) Era() teaselstream.Era { return 0 }
+func (s *scriptedStore) Era() teaselstream.Era { return s.era }
 
 func (s *scriptedStore) Grant(context.Context, time.Duration) (teaselstream.LeaseID, error) {
 	s.granted++
@@ -141,7 +142,8 @@
 	return fmt.Sprintf("%T", m)
 }
 
-// Guards against a VM that stays unregistered because an earlier run left its entry, or because its lease expired.
+// Guards against a VM that stays unregistered because an earlier run left its entry, because its lease expired, or because the store has
+// come back from a copy that holds its lease without its entry.
 func TestRegistrar(t *testing.T) {
 	s := &scriptedStore{}
 	r := &Registrar{Directory: s, Self: fleet.Peer{Name: "x"}, Log: slog.New(slog.DiscardHandler)}
@@ -158,8 +160,15 @@
 	if err := r.step(context.Background()); err != nil || s.granted != 2 {
 		t.Errorf("expired lease: error %v, %d leases, want two", err, s.granted)
 	}
+	s.keep, s.era = nil, 2
+	if err := r.step(context.Background()); err != nil || s.granted != 3 {
+		t.Errorf("restored store: error %v, %d leases, want three", err, s.granted)
+	}
+	if err := r.step(context.Background()); err != nil || s.granted != 3 {
+		t.Errorf("renewal in the new era: error %v, %d leases, want three", err, s.granted)
+	}
 	s.keep = teaselstream.ErrUnavailable
-	if err := r.step(context.Background()); !errors.Is(err, teaselstream.ErrUnavailable) || s.granted != 2 {
+	if err := r.step(context.Background()); !errors.Is(err, teaselstream.ErrUnavailable) || s.granted != 3 {
 		t.Errorf("store unavailable: error %v, %d leases, want the lease kept", err, s.granted)
 	}
 }
@@ -199,7 +208,7 @@
 }
 
 // Guards against a report that is not written because an earlier one of the VM is in the store or has expired with its lease,
-// because the VM is not registered yet, or because the store did not answer.
+// because the VM is not registered yet, or because the store did not answer, and against one that is gone with the VM's earlier lease.
 func TestPublisher(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -226,6 +235,20 @@
 			s.revision = 0
 			s.mu.Unlock()
 		}
-		p.Publish(string(want[0] + 1))
+		if i < 2 {
+			p.Publish(string(want[0] + 1))
+		}
+	}
+	s.mu.Lock()
+	s.revision = 0
+	s.mu.Unlock()
+	lease.Store(2)
+	select {
+	case got := <-s.written:
+		if got != strconv.Quote("c") {
+			t.Errorf("wrote %q under the VM's new lease, want the last value", got)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the last value is not written under the VM's new lease")
 	}
 }
