crash: signatures stay in force when the store comes back from an older copy

Cause: the tracker dropped a record whose revision was lower than the last one. After a restore it read no record until the store had passed that revision, and never wrote its own, since it named a revision that the store did not have; VMs that start later knew nothing of the signatures.

Change: the record carries its position. If the era rises, signatures of before stay in force, and the record is completed by the first VM in rank; 10 s later the record alone counts again. The absence of the record is read too.

--- a/crash/fleet_test.go
+++ b/crash/fleet_test.go
@@ -138,7 +138,7 @@
 	f.update(i, life, Peers{Self: v.id, VMs: names})
 	delete(f.reports, i)
 	f.After(f.delay(), func() {
-		f.update(i, life, RecordRead{Record: f.record, Revision: f.revision})
+		f.update(i, life, RecordRead{Record: f.record, At: teaselstream.Position{Era: 1, Revision: f.revision}})
 		for j := range f.vms {
 			if r, ok := f.reports[j]; ok {
 				f.update(i, life, ReportRead{r})
@@ -180,7 +180,7 @@
 			}
 			f.revision++
 			f.record = c.Record
-			read := RecordRead{Record: c.Record, Revision: f.revision}
+			read := RecordRead{Record: c.Record, At: teaselstream.Position{Era: 1, Revision: f.revision}}
 			for j := range f.vms {
 				to := f.vms[j].life
 				f.After(f.delay(), func() { f.update(j, to, read) })
--- a/crash/message.go
+++ b/crash/message.go
@@ -24,10 +24,11 @@
 	// ReportRead carries the report of another VM.
 	ReportRead struct{ Report Report }
 
-	// RecordRead carries the signatures that the store keeps.
+	// RecordRead carries the signatures that the store keeps. At is the place of their last write, with revision 0 if the store has no
+	// record.
 	RecordRead struct {
-		Record   Record
-		Revision teaselstream.Revision
+		Record Record
+		At     teaselstream.Position
 	}
 
 	// Peers carries the names of all VMs, this one included.
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -67,10 +67,13 @@
 		// record holds the signatures that the store keeps, and revoked those of them that a server has answered since.
 		record  map[string]RecordedSignature
 		revoked map[string]bool
-		// recordRevision is the revision at which the record was read.
-		recordRevision teaselstream.Revision
-		recordTriedAt  time.Time
-		refused        map[string]Signature
+		// recordAt is the place in the store's history at which the record was read.
+		recordAt      teaselstream.Position
+		recordTriedAt time.Time
+		// restoredAt is when the record of an older copy was read, and incomplete means that it lacks signatures of record.
+		restoredAt time.Time
+		incomplete bool
+		refused    map[string]Signature
 	}
 
 	lossKey struct {
--- a/crash/tracker_test.go
+++ b/crash/tracker_test.go
@@ -74,7 +74,7 @@
 }
 
 // message parses "lost SERVER TRAIT...", "heard SERVER TRAIT...", which is the same from another VM, "answered TRAIT...",
-// "cleared TRAIT" by another VM, "record REVISION [TRAIT...]" with one signature and "tick".
+// "cleared TRAIT" by another VM, "record ERA:REVISION [TRAIT...]" with one signature and "tick".
 func (s *trackerScript) message(t *testing.T, f []string) teaselstream.Msg {
 	s.requests++
 	request := teaselstream.AttemptID(strconv.Itoa(s.requests))
@@ -88,11 +88,10 @@
 	case "cleared":
 		return ReportRead{Report{WrittenAt: s.start.Unix(), Cleared: []Clearance{{Trait: Trait(f[1])}}}}
 	case "record":
-		n, err := strconv.Atoi(f[1])
-		if err != nil {
+		var r RecordRead
+		if n, err := fmt.Sscanf(f[1], "%d:%d", &r.At.Era, &r.At.Revision); n != 2 {
 			t.Fatal(err)
 		}
-		r := RecordRead{Revision: teaselstream.Revision(n)}
 		if len(f) > 2 {
 			r.Record.Signatures = []RecordedSignature{{Signature{traitsOf(f[2:])}, s.start.Unix()}}
 		}
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -138,7 +138,9 @@
 	if !f.answeredAt.IsZero() {
 		listed.Age = time.Since(f.answeredAt)
 	}
+	recorded := false
 	for _, e := range entries {
+		recorded = recorded || e.Key == CrashRecordKey
 		if !strings.HasPrefix(e.Key, f.ReplicaPrefix) {
 			f.apply(e)
 		} else if r, ok := f.decodeReplica(e); ok {
@@ -147,6 +149,9 @@
 	}
 	f.Post(listed)
 	f.postPeers()
+	if !recorded {
+		f.Post(crash.RecordRead{At: teaselstream.Position{Era: position.Era}})
+	}
 	return nil
 }
 
@@ -182,15 +187,19 @@
 	return false
 }
 
-// applyReport posts what the VMs report about servers. Removed reports belong to VMs that ended; what they said still holds.
+// applyReport posts what the VMs report about servers. Removed reports belong to VMs that ended; what they said still holds. The record
+// of signatures is missing only from a store that has come back from a copy of before its first write.
 func (f *Follower) applyReport(e teaselstream.Entry) {
 	if e.Deleted {
+		if e.Key == CrashRecordKey {
+			f.Post(crash.RecordRead{At: teaselstream.Position{Era: e.At.Era}})
+		}
 		return
 	}
 	switch {
 	case e.Key == CrashRecordKey:
 		if r, ok := decode[crash.Record](f.Log, e); ok {
-			f.Post(crash.RecordRead{Record: r, Revision: e.At.Revision})
+			f.Post(crash.RecordRead{Record: r, At: e.At})
 		}
 	case strings.HasPrefix(e.Key, CrashReportPrefix):
 		if r, ok := decode[crash.Report](f.Log, e); ok {
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/crash"
 	"github.com/teaselstream/teaselstream/fleet"
 )
 
@@ -106,7 +107,7 @@
 		Post: func(m teaselstream.Msg) { got = append(got, describe(m)) },
 	}
 	f.Run(ctx)
-	want := "config 1; list [a]; 1 VMs; changed b; removed a; lost; regained; config 2; 0 VMs; restored; removed b; restored; config 1; list [a]; 1 VMs"
+	want := "config 1; list [a]; 1 VMs; record at 1.0; changed b; removed a; lost; regained; config 2; 0 VMs; restored; removed b; restored; config 1; list [a]; 1 VMs; record at 1.0"
 	if text := strings.Join(got, "; "); text != want {
 		t.Errorf("messages:\n%s\nwant:\n%s", text, want)
 	}
@@ -136,6 +137,8 @@
 		return "lost"
 	case fleet.StoreRegained:
 		return "regained"
+	case crash.RecordRead:
+		return fmt.Sprintf("record at %d.%d", m.At.Era, m.At.Revision)
 	case fleet.StoreRestored:
 		return "restored"
 	}
