watch: VMs that a restored store lacks are kept until they can have registered again

Cause: the list of a store that has come back from an older copy replaced the known VMs. Entries written since are missing until their VMs register again; meanwhile each VM took a larger part of the retry budget and of servers' limits, and other readers were chosen.

Evidence: TestPeersOfARestoredStore; without the change one VM of three is left after the restore.

--- a/watch/follow.go
+++ b/watch/follow.go
@@ -22,6 +22,9 @@
 	// minBackoff and maxBackoff bound the wait after a failed call.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
+	// reregisterTime is how long VMs whose entries a restored store lacks are kept. They read of it within the longest backoff and the
+	// outage of their readers, and register again within reregisterSpread; the bound is that of a VM that ends.
+	reregisterTime = leaseTTL
 	// unknownAge is the age of the entries of the first list. The VM cannot know how long a server has been draining and
 	// assumes that its drain time is over.
 	unknownAge = time.Minute
@@ -47,8 +50,12 @@
 		// position is the place in the store's history up to which this VM has read.
 		position teaselstream.Position
 		// answeredAt is when the store last answered.
-		answeredAt     time.Time
-		peers          map[string]fleet.Peer
+		answeredAt time.Time
+		peers      map[string]fleet.Peer
+		// restoredAt is when this VM read that the store has come back from an older copy, and missing holds since when the entries of
+		// VMs are missing from it.
+		restoredAt     time.Time
+		missing        map[string]time.Time
 		storeLost      bool
 		storeChangedAt time.Time
 	}
@@ -106,7 +113,7 @@
 	// The core must learn that the store answers before it handles removals, which may be due to the outage.
 	f.markRegained()
 	f.moveTo(position)
-	peers := false
+	peers := f.dropMissing(time.Now())
 	for _, e := range entries {
 		peers = f.apply(e) || peers
 	}
@@ -133,7 +140,8 @@
 	}
 	f.markRegained()
 	f.moveTo(position)
-	f.peers = make(map[string]fleet.Peer)
+	before := f.peers
+	f.peers, f.missing = make(map[string]fleet.Peer), nil
 	listed := fleet.ReplicasListed{Age: unknownAge}
 	if !f.answeredAt.IsZero() {
 		listed.Age = time.Since(f.answeredAt)
@@ -148,6 +156,11 @@
 		}
 	}
 	f.Post(listed)
+	for key, p := range before {
+		if _, ok := f.peers[key]; !ok && f.mayReregister(time.Now(), key) {
+			f.peers[key] = p
+		}
+	}
 	f.postPeers()
 	if !recorded {
 		f.Post(crash.RecordRead{At: teaselstream.Position{Era: position.Era}})
@@ -160,6 +173,7 @@
 	if f.position.Era != 0 && position.Era != f.position.Era {
 		f.Log.Warn("StoreRestored", "era", uint64(position.Era), "revision", uint64(position.Revision),
 			"eraBefore", uint64(f.position.Era), "before", uint64(f.position.Revision))
+		f.restoredAt = time.Now()
 		f.Post(fleet.StoreRestored{})
 		if f.Restored != nil {
 			f.Restored()
@@ -245,12 +259,13 @@
 
 func (f *Follower) applyVM(e teaselstream.Entry) bool {
 	if e.Deleted {
-		if _, ok := f.peers[e.Key]; !ok {
+		if _, ok := f.peers[e.Key]; !ok || f.mayReregister(time.Now(), e.Key) {
 			return false
 		}
 		delete(f.peers, e.Key)
 		return true
 	}
+	delete(f.missing, e.Key)
 	var p fleet.Peer
 	if err := json.Unmarshal(e.Value, &p); err != nil || p.Name == "" {
 		f.Log.Warn("VMEntryUnreadable", "key", e.Key, "error", err)
@@ -263,6 +278,32 @@
 	return true
 }
 
+// mayReregister reports whether the entry of a VM may be missing only because the store has come back from a copy of before it was
+// written; the VM then registers again. Fewer VMs would each take a larger part of what they share, such as the retry budget.
+func (f *Follower) mayReregister(now time.Time, key string) bool {
+	if f.restoredAt.IsZero() || now.Sub(f.restoredAt) >= reregisterTime {
+		return false
+	}
+	if f.missing == nil {
+		f.missing = make(map[string]time.Time)
+	}
+	f.missing[key] = now
+	return true
+}
+
+// dropMissing drops VMs that have not registered again, and reports whether there were any.
+func (f *Follower) dropMissing(now time.Time) bool {
+	dropped := false
+	for key, since := range f.missing {
+		if now.Sub(since) >= reregisterTime {
+			delete(f.missing, key)
+			delete(f.peers, key)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
 func (f *Follower) postPeers() {
 	var peers []fleet.Peer
 	for _, p := range f.peers {
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -117,6 +117,46 @@
 	}
 }
 
+// Guards against VMs that count fewer of them, and take larger parts of what they share, while the others register again with a store that
+// has come back from an older copy, and against VMs that are counted for good although they ended.
+func TestPeersOfARestoredStore(t *testing.T) {
+	vm := func(name string) teaselstream.Entry {
+		return teaselstream.Entry{Key: vmPrefix + name, Value: []byte(`{"Name":"` + name + `"}`)}
+	}
+	s := &scriptedStore{entries: []teaselstream.Entry{vm("x"), vm("y"), vm("z")}}
+	var peers []fleet.Peer
+	f := &Follower{Directory: s, RoutingKey: "cfg", ReplicaPrefix: "srv/", Log: slog.New(slog.DiscardHandler), Post: func(m teaselstream.Msg) {
+		if p, ok := m.(fleet.PeersListed); ok {
+			peers = p.Peers
+		}
+	}}
+	step := func(listed bool, changes follow) int {
+		s.follows = []follow{changes}
+		if err := f.step(context.Background(), listed); err != nil {
+			t.Fatal(err)
+		}
+		return len(peers)
+	}
+	gone := func(name string) teaselstream.Entry { return teaselstream.Entry{Key: vmPrefix + name, Deleted: true} }
+	if n := step(false, follow{}); n != 3 {
+		t.Fatalf("%d VMs, want 3", n)
+	}
+	if n := step(true, follow{entries: []teaselstream.Entry{gone("y"), gone("z")}, restored: 1}); n != 3 {
+		t.Errorf("%d VMs after the store has lost two of them, want 3", n)
+	}
+	if n := step(true, follow{entries: []teaselstream.Entry{vm("y")}}); n != 3 {
+		t.Errorf("%d VMs after one has registered again, want 3", n)
+	}
+	f.restoredAt = f.restoredAt.Add(-reregisterTime)
+	f.missing[vmPrefix+"z"] = f.restoredAt
+	if n := step(true, follow{}); n != 2 {
+		t.Errorf("%d VMs after the last one has not registered again, want 2", n)
+	}
+	if n := step(true, follow{entries: []teaselstream.Entry{gone("y")}}); n != 1 {
+		t.Errorf("%d VMs after one has ended, want 1", n)
+	}
+}
+
 func describe(m teaselstream.Msg) string {
 	switch m := m.(type) {
 	case fleet.RoutingRead:
