--- a/cmd/faults/faults_test.go
+++ b/cmd/faults/faults_test.go
@@ -33,11 +33,12 @@
 	for s := bufio.NewScanner(f); s.Scan(); {
 		text, _, _ := strings.Cut(s.Text(), "#")
 		var seed uint64
-		if n, _ := fmt.Sscan(text, &seed); n != 1 {
+		vms := 0
+		if n, _ := fmt.Sscan(text, &seed, &vms); n < 1 {
 			continue
 		}
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			violations, err := runSeed(seed, options{Time: shortTime}, dir, gate)
+			violations, err := runSeed(seed, options{Time: shortTime, VMs: vms}, dir, gate)
 			if err != nil {
 				t.Error(err)
 			}
@@ -53,7 +54,7 @@
 func TestVMAddressesAreTheirOwn(t *testing.T) {
 	const rounds = 3000
 	for range rounds {
-		addresses, err := freeAddresses(vmCount * vmAddresses)
+		addresses, err := freeAddresses(defaultVMs * vmAddresses)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/cmd/faults/main.go
+++ b/cmd/faults/main.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -19,6 +20,7 @@
 	Seed    uint64        `long:"seed" default:"1" description:"seed of the first run"`
 	Runs    int           `long:"runs" default:"1" description:"number of runs, with consecutive seeds"`
 	Time    time.Duration `long:"time" default:"20s" description:"how long faults are injected in each run"`
+	VMs     int           `long:"vms" description:"number of VMs; 3 without it"`
 	Verbose bool          `long:"verbose" description:"print each fault"`
 }
 
@@ -29,8 +31,8 @@
 	if code, done := launch.Parse(program, &o, args); done {
 		return code
 	}
-	if o.Runs < 1 || o.Time <= 0 {
-		return launch.PrintError(program, launch.ExitSettings, errors.New("invalid --runs or --time; accepted: above 0"))
+	if o.Runs < 1 || o.Time <= 0 || o.VMs < 0 {
+		return launch.PrintError(program, launch.ExitSettings, errors.New("invalid --runs, --time or --vms; accepted: above 0"))
 	}
 	dir, err := os.MkdirTemp("", program)
 	if err != nil {
@@ -87,7 +89,7 @@
 	if err := os.Mkdir(directory, 0o700); err != nil {
 		return nil, fmt.Errorf("make directory: %w", err)
 	}
-	w, err := newTestRun(directory, gate)
+	w, err := newTestRun(directory, gate, cmp.Or(o.VMs, defaultVMs))
 	if err != nil {
 		return nil, err
 	}
@@ -152,6 +154,9 @@
 // checkEnd makes the checks that are possible only at the end of a run.
 func (w *testRun) checkEnd() {
 	w.callers.checkOrders()
+	if n := len(w.store.Keys("vm/")); n < len(w.vms) {
+		w.callers.recordViolation("%d of %d VMs are registered after the last fault", n, len(w.vms))
+	}
 	w.callers.checkLeaving(w.started)
 	w.callers.checkWaits(w.started)
 	for _, f := range w.fleet.CallerErrors() {
--- a/cmd/faults/plan.go
+++ b/cmd/faults/plan.go
@@ -78,6 +78,22 @@
 		w.store.Compact()
 		return "store", func() error { return nil }
 	}},
+	{"store restored", func(w *testRun, r *rand.Rand) (string, func() error) {
+		if !w.claim("store") {
+			return "", nil
+		}
+		// What VMs write from here on is lost; the operator and the replicas write theirs again.
+		copied := w.store.Copy()
+		time.AfterFunc(randomDuration(r, minFaultTime, maxFaultTime), func() { w.store.SetDown(true) })
+		return "store", func() error {
+			w.store.SetDown(true)
+			w.store.Restore(copied)
+			w.writeAgain()
+			w.store.SetDown(false)
+			w.release("store")
+			return nil
+		}
+	}},
 	{"replica silent", func(w *testRun, r *rand.Rand) (string, func() error) {
 		name := w.replicaName(r)
 		if !w.claimReplica(name) {
@@ -135,8 +151,10 @@
 		}
 	}},
 	{"configuration", func(w *testRun, r *rand.Rand) (string, func() error) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		w.version += 1 + r.IntN(3)
-		w.fleet.Configure(w.version, testKey, fmt.Sprintf("key-%d", w.version))
+		w.configure()
 		return fmt.Sprint("version ", w.version), func() error { return nil }
 	}},
 }
--- a/cmd/faults/test_run.go
+++ b/cmd/faults/test_run.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	vmCount      = 3
+	// defaultVMs is too few for readers; with 5 or more, VMs follow the store through one of them.
+	defaultVMs   = 3
 	modelCount   = 6
 	plainCount   = 2
 	layers       = 40
@@ -50,7 +51,7 @@
 	started []*plat.Replica
 }
 
-func newTestRun(directory, program string) (*testRun, error) {
+func newTestRun(directory, program string, vmCount int) (*testRun, error) {
 	w := &testRun{
 		directory: directory, store: &plat.Store{}, replicas: make(map[string]*plat.Replica), links: make(map[string]*link),
 		claimed: make(map[string]bool), starts: make(map[string]int), version: 1,
@@ -145,6 +146,25 @@
 	return nil
 }
 
+// writeAgain writes what the operator and the replicas have written last, and removes the entries of replicas that ended.
+func (w *testRun) writeAgain() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.configure()
+	for _, r := range w.started {
+		if w.replicas[replicaNameOf(r.ID())] == r {
+			r.Heartbeat()
+		} else {
+			r.Remove()
+		}
+	}
+}
+
+// configure writes the newest configuration. The caller holds the lock.
+func (w *testRun) configure() {
+	w.fleet.Configure(w.version, testKey, fmt.Sprintf("key-%d", w.version))
+}
+
 func (w *testRun) claim(name string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
