--- a/cover/survey.go
+++ b/cover/survey.go
@@ -43,7 +43,7 @@
 	d.evaluations++
 	s := &domainState{decider: d, orders: maps.Clone(d.orders), now: now, engine: e, domain: domain, planned: make([]int, e.Layers), ready: make([]int, e.Layers)}
 	for _, m := range members {
-		if m.Domain != domain || e.Kinds[m.Accelerator].Memory == 0 {
+		if m.Domain != domain || e.Kinds[m.Accelerator].Memory == 0 || m.Holds.From < 0 || m.Holds.To > e.Layers {
 			continue
 		}
 		switch m.State {
