proxy: an earlier refusal on a kept connection is no answer

Cause: a request that is sent again to the same server could use the connection that carried its refusal, and the repeated refusal has its id; a refusal without an id was taken for the answer to whatever was sent last. Class of fault: a statement that nothing has run is believed without proof of which request it is about.

Change: a request that is sent again uses a new connection. An answer without an id on a connection that carried other requests ends the attempt as one that may have run.

--- a/cmd/stand/plat/replica.go
+++ b/cmd/stand/plat/replica.go
@@ -269,6 +269,9 @@
 		<-q.Context().Done()
 		return
 	}
+	if id := q.Header.Get("X-Attempt-Id"); id != "" {
+		w.Header().Set("X-Attempt-Id", id)
+	}
 	r.recordReached(q)
 	r.announceLeaving(w)
 	if expected := q.Header.Get("X-Expect-Replica"); expected != "" && expected != r.id {
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -31,6 +31,9 @@
 // The texts of errors of an attempt can reach callers, in the Message of the refusal that ends a request.
 var (
 	errStaleResponses = errors.New("connection returned answers of other requests only")
+	// errUnnamedResponse reports a response without an attempt id on a connection that carried other requests, of which it may be one
+	// more answer. Servers state the id in all answers.
+	errUnnamedResponse = errors.New("answer on a kept connection names no request")
 	// errResponseTooLarge reports a response or event that exceeds its size limit.
 	errResponseTooLarge = errors.New("answer is over the limit")
 )
@@ -50,9 +53,9 @@
 
 // send writes a request to a server and reads the status and header of its response.
 // The connection closes when ctx ends. An error wraps errDial or ErrWithheld if nothing was sent.
-func (h *Handler) send(ctx context.Context, to *fleet.Member, fresh bool, m *outgoingRequest, id teaselstream.AttemptID) (*upstreamResponse, error) {
+func (h *Handler) send(ctx context.Context, to *fleet.Member, r reuse, m *outgoingRequest, id teaselstream.AttemptID) (*upstreamResponse, error) {
 	planned := time.Now()
-	u, err := h.pool.get(ctx, to.Address, fresh)
+	u, err := h.pool.get(ctx, to.Address, r)
 	if err != nil {
 		return nil, err
 	}
@@ -96,6 +99,9 @@
 			}
 			continue
 		}
+		if a.head.Attempt == "" && u.used {
+			return nil, errUnnamedResponse
+		}
 		select {
 		case err := <-written:
 			if err != nil {
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -153,12 +153,12 @@
 	msg := &outgoingRequest{method: c.Method, target: c.Target, host: c.Host, header: header, body: c.Body}
 	ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
 	c.cancels = append(c.cancels, cancel)
-	fresh := !c.route.Idempotent
+	r := reuseFor(c.route.Idempotent, x.AttemptNumber > 1)
 	m.LoadEstimate.OwnRequests.Add(1)
 	go func() {
 		defer m.LoadEstimate.OwnRequests.Add(-1)
 		s := sendResult{number: x.AttemptNumber, member: m}
-		s.upstreamResponse, s.err = h.send(ctx, m, fresh, msg, c.head.Attempt)
+		s.upstreamResponse, s.err = h.send(ctx, m, r, msg, c.head.Attempt)
 		if s.err == nil {
 			s.body, s.err = s.upstreamResponse.readAll(&h.pool)
 		}
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -40,6 +40,9 @@
 		idle map[string][]*serverConn
 	}
 
+	// reuse says which idle connections may carry a request.
+	reuse uint8
+
 	// serverConn is a connection to a server.
 	serverConn struct {
 		net.Conn
@@ -53,11 +56,33 @@
 	}
 )
 
-// get returns an idle connection or dials one; with fresh set it reuses only one so recently used that the server
-// cannot have closed it.
-func (p *Pool) get(ctx context.Context, address string, fresh bool) (*serverConn, error) {
-	if u := p.take(address, fresh); u != nil {
-		return u, nil
+const (
+	reuseAny reuse = iota
+	// reuseRecent allows only a connection so recently used that the server cannot have closed it.
+	reuseRecent
+	// reuseNone requires a new connection. A request that was sent before needs one: a faulty server may write the earlier answer
+	// with its id once more.
+	reuseNone
+)
+
+// reuseFor returns which connections may carry a request that may run again or not, and that is sent for the first time or again.
+func reuseFor(mayRunAgain, again bool) reuse {
+	switch {
+	case again:
+		return reuseNone
+	case mayRunAgain:
+		return reuseAny
+	default:
+		return reuseRecent
+	}
+}
+
+// get returns an idle connection or dials one.
+func (p *Pool) get(ctx context.Context, address string, r reuse) (*serverConn, error) {
+	if r != reuseNone {
+		if u := p.take(address, r == reuseRecent); u != nil {
+			return u, nil
+		}
 	}
 	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	c, err := d.DialContext(ctx, "tcp", address)
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -28,8 +28,7 @@
 // runAttempt sends one attempt and posts its response to the core.
 func (s *streamRunner) runAttempt(ctx context.Context, c flow.Open, first *fleet.Member, m *outgoingRequest) {
 	h := s.handler
-	fresh := !s.core.Resumable
-	a, err := h.send(ctx, first, fresh, m, s.head.Attempt)
+	a, err := h.send(ctx, first, reuseFor(s.core.Resumable, c.Attempt > 1), m, s.head.Attempt)
 	if err != nil {
 		if ctx.Err() == nil && dialFailed(err) {
 			h.reportUnreachable(c.Path[0].Server)
--- a/proxy/upstream_test.go
+++ b/proxy/upstream_test.go
@@ -82,9 +82,7 @@
 
 func sendTo(t *testing.T, h *Handler, to *fleet.Member) (string, error) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	a, err := h.send(ctx, to, false, &outgoingRequest{method: "GET", target: "/", host: "h", header: http.Header{}}, "me")
+	a, err := sendOnce(t, h, to, false)
 	if err != nil {
 		return "", err
 	}
@@ -92,6 +90,14 @@
 	return string(b), err
 }
 
+// sendOnce sends the request "me", for the first time or again.
+func sendOnce(t *testing.T, h *Handler, to *fleet.Member, again bool) (*upstreamResponse, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	t.Cleanup(cancel)
+	return h.send(ctx, to, reuseFor(true, again), &outgoingRequest{method: "GET", target: "/", host: "h", header: http.Header{}}, "me")
+}
+
 // Guards against a faulty server's bytes that are taken for the response to a request: responses to other requests, a
 // second response, a truncated response, and bytes that are not HTTP.
 func TestFaultyAnswers(t *testing.T) {
