flow: an error of the next server is not delivered within a stream

Cause: an answer with a status of success that is not a series of events was delivered as one event without a number, whatever the caller already had, and its end ended the stream as complete; so was an event without a number before the rest. Errors with a status of failure were not delivered. Class of fault: what continues an answer is taken on trust from whoever answers next.

Change: once a caller has a part of a stream, an attempt must begin with a numbered event that continues it; anything else ends the attempt, and another server is tried or the stream is cut. Comments before that are dropped.

--- a/flow/message.go
+++ b/flow/message.go
@@ -15,6 +15,8 @@
 		Attempt teaselstream.Attempt
 		Status  int
 		Answer  teaselstream.AnswerHead
+		// Whole reports that the answer is one body, which follows as one event without a number, and not a series of events.
+		Whole bool
 	}
 
 	// Event holds one complete event of an attempt's answer.
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"bytes"
 	"slices"
 	"time"
 
@@ -118,7 +119,8 @@
 		// mayHaveRun reports that some attempt may have run, and attemptMayHaveRun that the current one may.
 		mayHaveRun  bool
 		lastEventID uint64
-		delivered   bool
+		// delivered reports that the caller has a part of the answer, and attemptDelivered that it has one from the current attempt.
+		delivered, attemptDelivered bool
 		// stepTime is the planned time per token on Path.
 		stepTime time.Duration
 		// lastActivity is when the current attempt was opened, answered or moved, or had its last event; probeDelay is the time
@@ -221,7 +223,7 @@
 	s.Attempt++
 	s.attempts++
 	s.Path, s.stepTime = path, stepTime
-	s.repaths, s.probing, s.moving, s.opened, s.attemptMayHaveRun = 0, false, false, false, false
+	s.repaths, s.probing, s.moving, s.opened, s.attemptMayHaveRun, s.attemptDelivered = 0, false, false, false, false, false
 	s.lastActivity, s.reopenAt = now, time.Time{}
 	s.probeDelay = firstEventProbeDelay
 	lastEventID := uint64(0)
@@ -237,6 +239,10 @@
 	}
 	s.lastActivity = now
 	switch {
+	case m.Status/100 == 2 && m.Whole && s.delivered:
+		s.markMayHaveRun()
+		s.avoid[s.Path[0].Server] = true
+		return append([]teaselstream.Cmd{Abort{s.Attempt, notTheRest}}, s.retryOrFail(now, notTheRest)...)
 	case m.Status/100 == 2:
 		s.opened = true
 		s.markMayHaveRun()
@@ -274,11 +280,22 @@
 
 func (s *Stream) mayRunAgain() bool { return s.Resumable }
 
+// notTheRest is the reason of an attempt whose answer is not the rest of the stream that the caller already has a part of.
+const notTheRest = "answer is not the rest of the stream"
+
 func (s *Stream) onEvent(now time.Time, m Event) []teaselstream.Cmd {
-	if m.Attempt != s.Attempt {
+	if m.Attempt != s.Attempt || !s.reopenAt.IsZero() {
 		return nil
 	}
 	s.markMayHaveRun()
+	if m.ID == 0 && s.delivered && !s.attemptDelivered {
+		if isComment(m.Data) {
+			return nil
+		}
+		// Without a number nothing shows that the event continues what the caller has; it may be the text of an error.
+		s.avoid[s.Path[0].Server] = true
+		return append([]teaselstream.Cmd{Abort{s.Attempt, notTheRest}}, s.retryOrFail(now, notTheRest)...)
+	}
 	s.lastActivity = now
 	if m.ID != 0 && m.ID <= s.lastEventID {
 		return nil
@@ -289,11 +306,21 @@
 	if m.ID != 0 {
 		s.lastEventID = m.ID
 	}
-	s.delivered, s.lastEventAt = true, now
+	s.delivered, s.attemptDelivered, s.lastEventAt = true, true, now
 	s.probeDelay = nextEventProbeDelay
 	return []teaselstream.Cmd{Deliver{s.Attempt, m.Data}}
 }
 
+// isComment reports whether an event has no fields, as servers send it to keep a connection open.
+func isComment(data []byte) bool {
+	for line := range bytes.Lines(data) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Stream) onClosed(now time.Time, m Closed) []teaselstream.Cmd {
 	if m.Attempt != s.Attempt || !s.reopenAt.IsZero() {
 		return nil
--- a/flow/stream_test.go
+++ b/flow/stream_test.go
@@ -188,9 +188,13 @@
 		if len(f) > 5 {
 			answer.Fault = f[5]
 		}
-		return s.stream.Update(now, Opened{attemptOf(f[2]), int(numberOf(f[3])), answer})
+		return s.stream.Update(now, Opened{attemptOf(f[2]), int(numberOf(f[3])), answer, len(f) > 4 && f[4] == "whole"})
 	case "event":
-		return s.stream.Update(now, Event{attemptOf(f[2]), numberOf(f[3]), []byte("data")})
+		data := "data: x\n\n"
+		if len(f) > 4 && f[4] == "comment" {
+			data = ": x\n\n"
+		}
+		return s.stream.Update(now, Event{attemptOf(f[2]), numberOf(f[3]), []byte(data)})
 	case "closed":
 		return s.stream.Update(now, Closed{Attempt: attemptOf(f[2]), Complete: f[3] == "complete", NotSent: f[3] == "notsent", Reason: f[3]})
 	case "probed":
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -38,6 +38,7 @@
 	}
 	opened := openedResponse{flow.Opened{Attempt: c.Attempt, Status: a.status, Answer: a.head}, savedResponse{status: a.status, header: a.header}}
 	if a.status/100 != 2 || !a.isEventStream() {
+		opened.Whole = true
 		body, err := a.readAll(&h.pool)
 		if err != nil {
 			s.post(ctx, flow.Closed{Attempt: c.Attempt, Reason: err.Error()})
