watch: lists that do not help are spaced

Cause: a lost history led to a list at once, and a store whose answers do not agree on the era, or that drops its history all the time, would have been listed in a tight loop by every VM.

Change: the first list after a loss still follows at once, further ones after a backoff until a watch succeeds. The type that wakes the registrar and the publishers is named wakeup.

--- a/watch/follow.go
+++ b/watch/follow.go
@@ -64,7 +64,7 @@
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.storeChangedAt = time.Now()
-	failures := 0
+	failures, losses := 0, 0
 	listed := false
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -75,12 +75,19 @@
 			if !listed {
 				// The list may be stale, so the changes since are read at once.
 				wait = 0
+			} else {
+				losses = 0
 			}
 			listed, failures, f.answeredAt = true, 0, time.Now()
 			f.markRegained()
 		case errors.Is(err, teaselstream.ErrCompacted):
 			f.Log.Warn("StoreHistoryLost", "error", err.Error(), "revision", uint64(f.position.Revision), "era", uint64(f.position.Era))
 			listed, wait = false, 0
+			if losses > 0 {
+				// Lists that do not help are not repeated at once.
+				wait = teaselstream.Backoff(f.Rand, minBackoff, maxBackoff, losses)
+			}
+			losses++
 		default:
 			failures++
 			f.markLost(err)
--- a/watch/publish.go
+++ b/watch/publish.go
@@ -38,7 +38,7 @@
 
 	mu      sync.Mutex
 	pending []byte
-	changed alarm
+	changed wakeup
 	// revision is that of this VM's last write, written its value and lease its lease. Only Run uses them.
 	revision teaselstream.Revision
 	written  []byte
@@ -57,7 +57,7 @@
 	p.mu.Lock()
 	p.pending = value
 	p.mu.Unlock()
-	p.changed.ring()
+	p.changed.notify()
 }
 
 // Run writes values until ctx ends. A failed write is repeated after a backoff.
--- a/watch/register.go
+++ b/watch/register.go
@@ -36,8 +36,8 @@
 	lease teaselstream.LeaseID
 	// era is that of the store when the lease was granted.
 	era teaselstream.Era
-	// restored is filled when the store has come back from an older copy.
-	restored alarm
+	// restored notifies Run that the store has come back from an older copy.
+	restored wakeup
 	// current is the lease for other goroutines.
 	current atomic.Uint64
 }
@@ -46,7 +46,7 @@
 func (r *Registrar) Lease() teaselstream.LeaseID { return teaselstream.LeaseID(r.current.Load()) }
 
 // StoreRestored makes the VM register again soon. It may be called concurrently.
-func (r *Registrar) StoreRestored() { r.restored.ring() }
+func (r *Registrar) StoreRestored() { r.restored.notify() }
 
 // Run keeps the entry until ctx ends; the entry then expires with its lease.
 func (r *Registrar) Run(ctx context.Context) {
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -117,6 +117,21 @@
 	}
 }
 
+// Guards against lists in a tight loop from a store that never has the changes since the last one.
+func TestListsAreSpaced(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &scriptedStore{done: cancel}
+	for range 4 {
+		s.follows = append(s.follows, follow{err: teaselstream.ErrCompacted})
+	}
+	f := &Follower{Directory: s, Rand: rand.New(rand.NewPCG(1, 2)), Log: slog.New(slog.DiscardHandler), Post: func(teaselstream.Msg) {}}
+	began := time.Now()
+	f.Run(ctx)
+	if took := time.Since(began); took < minBackoff {
+		t.Errorf("%d lists within %s, want a backoff after the second", len(s.listed), took)
+	}
+}
+
 // Guards against VMs that count fewer of them, and take larger parts of what they share, while the others register again with a store that
 // has come back from an older copy, and against VMs that are counted for good although they ended.
 func TestPeersOfARestoredStore(t *testing.T) {
