proxy: keep to the wait that a refused report, order or move names

Cause: Retry-After was read in answers to callers' requests only; a report that was refused with it was asked for again at once and counted the server as down. Change: the error of a report, order or move carries the time, and package notice keeps it.

Evidence: TestRefusedReport; the stand-in turns reports and orders away too in TestReplicasThatAskToWait, which passes.

--- a/cmd/gate/order.go
+++ b/cmd/gate/order.go
@@ -52,6 +52,7 @@
 	err = c.handler.Replicas.Hold(ctx, teaselstream.RangeOrder{
 		Server: x.Server, Address: x.Address, Range: x.Range, Expected: r.Orders, Cut: x.Cut,
 	})
+	c.handler.ObserveWait(x.Server, x.Incarnation, err)
 	if err != nil && !errors.Is(err, teaselstream.ErrOutcomeUnknown) {
 		return fmt.Errorf("send order: %w", err)
 	}
--- a/cmd/stand/plat/replica.go
+++ b/cmd/stand/plat/replica.go
@@ -279,7 +279,7 @@
 		return
 	}
 	r.fleet.recordArrival(q)
-	if !strings.HasPrefix(q.URL.Path, "/v1/") && r.turnAway(w, q) {
+	if r.turnAway(w, q) {
 		return
 	}
 	switch {
@@ -300,7 +300,7 @@
 	r.reached = append(r.reached, Arrival{q.Header.Get("X-Attempt-Id"), time.Now()})
 }
 
-// TurnAway makes the replica answer all requests of callers with 503 and a Retry-After for a time.
+// TurnAway makes the replica answer everything, reports and orders included, with 503 and a Retry-After for a time.
 func (r *Replica) TurnAway(retryAfter, duration time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/notice/notices.go
+++ b/notice/notices.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// keepTime is how long the notice of a server is kept after its last answer. Servers serve for some seconds after they have
-	// begun to leave, and their entries in the platform's list may be as old as its oldest copy.
+	// keepTime is how long a server's words are kept after its last answer. A server that leaves serves for some seconds more, and a
+	// restored store lists it for some seconds as it was before.
 	keepTime = 10 * time.Minute
 	// sweepInterval is the least time between two searches for notices to drop.
 	sweepInterval = time.Minute
@@ -41,10 +41,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := n.statement(now, id, incarnation)
-	if s == nil {
-		return false
-	}
-	if !s.leavingSince.IsZero() {
+	if s == nil || !s.leavingSince.IsZero() {
 		return false
 	}
 	s.leavingSince = now
--- a/proxy/limit.go
+++ b/proxy/limit.go
@@ -16,13 +16,12 @@
 }
 
 // chooseReplica returns the replica for a call, and uses one request of its limit up if it has named one; it returns nil if there
-// is none that takes the call. A replica that has said that it leaves,
-// or that it wants nothing from this VM for now, takes none.
+// is none that takes the call. A replica that has said that it leaves, or that it wants nothing from this VM for now, takes none.
 func (h *Handler) chooseReplica(now time.Time, v *fleet.View, s teaselstream.ServiceID, tried map[teaselstream.ServerID]bool) *fleet.Member {
 	avoid := tried
 	for {
 		m := h.Balancer.Choose(now, v, s, avoid)
-		if m == nil || h.Notices.LeavingSince(m.ID, m.Incarnation).IsZero() && h.Notices.Wait(now, m.ID, m.Incarnation) <= 0 && h.Limits.Take(now, m.ID) {
+		if m == nil || h.takesCalls(now, m) && h.Limits.Take(now, m.ID) {
 			return m
 		}
 		if len(avoid) == len(tried) {
@@ -32,6 +31,11 @@
 	}
 }
 
+// takesCalls reports whether a replica has not said that it leaves or wants nothing from this VM for now.
+func (h *Handler) takesCalls(now time.Time, m *fleet.Member) bool {
+	return h.Notices.LeavingSince(m.ID, m.Incarnation).IsZero() && h.Notices.Wait(now, m.ID, m.Incarnation) <= 0
+}
+
 // soonestReplica returns the time until the first replica of a service takes a call of this VM, as far as limits and the replicas'
 // own words say; 0 means that they do not say.
 func (h *Handler) soonestReplica(now time.Time, v *fleet.View, s teaselstream.ServiceID) time.Duration {
--- a/proxy/notice.go
+++ b/proxy/notice.go
@@ -37,6 +37,15 @@
 	return nil
 }
 
+// ObserveWait records that a server refused a report, order or move and wants nothing from this VM, if the error says so.
+func (h *Handler) ObserveWait(id teaselstream.ServerID, incarnation teaselstream.Incarnation, err error) {
+	var w *teaselstream.WaitError
+	if errors.As(err, &w) {
+		h.Log.Info("WaitRequested", "server", string(id), "waitMs", w.Wait.Milliseconds())
+		h.Notices.ObserveWait(time.Now(), id, incarnation, w.Wait)
+	}
+}
+
 // startWait returns the time until a server may get a new request of this VM, by its limit and by the time for which it wants
 // nothing; ok is false if this VM has no part of the limit.
 func (h *Handler) startWait(now time.Time, id teaselstream.ServerID, incarnation teaselstream.Incarnation) (wait time.Duration, ok bool) {
--- a/proxy/notice_test.go
+++ b/proxy/notice_test.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"context"
+	"errors"
 	"log/slog"
 	"testing"
 	"time"
@@ -43,3 +45,33 @@
 		}
 	}
 }
+
+// waitingReplica refuses all reports and wants nothing for a minute.
+type waitingReplica struct {
+	teaselstream.ReplicaControl
+	reports int
+}
+
+func (r *waitingReplica) Report(context.Context, teaselstream.ServerID, string) (teaselstream.ReplicaReport, error) {
+	r.reports++
+	return teaselstream.ReplicaReport{}, &teaselstream.WaitError{Wait: time.Minute}
+}
+
+// Guards against reports that are read again although the server has refused one and wants nothing for some time (BUDGET), and against
+// such a server that counts as down.
+func TestRefusedReport(t *testing.T) {
+	r := &waitingReplica{}
+	posted := 0
+	h := &Handler{Replicas: r, Log: slog.New(slog.DiscardHandler), Post: func(teaselstream.Msg) { posted++ }}
+	for range 3 {
+		if _, err := h.ReadReport("a", "", 1); !errors.Is(err, ErrWithheld) {
+			t.Errorf("error %v, want %v", err, ErrWithheld)
+		}
+	}
+	if r.reports != 1 || posted > 0 {
+		t.Errorf("%d reports were asked for and %d messages posted, want one and none", r.reports, posted)
+	}
+	if err := h.CheckWait("a", 2); err != nil {
+		t.Errorf("error %v for a server that has restarted since, want none", err)
+	}
+}
--- a/proxy/prober.go
+++ b/proxy/prober.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"syscall"
 	"time"
@@ -76,6 +77,9 @@
 				"cacheUsed", report.CacheUsed, "cacheTotal", report.CacheTotal, "pace", report.Pace, "busy", report.Busy, "stalled", len(report.Stalled))
 			return report, nil
 		}
+		if h.ObserveWait(id, incarnation, err); errors.Is(h.CheckWait(id, incarnation), ErrWithheld) {
+			return report, fmt.Errorf("read report: %w: %w", ErrWithheld, err)
+		}
 	}
 	h.Post(fleet.Unreachable{Server: id, Incarnation: incarnation, Ended: errors.Is(err, syscall.ECONNREFUSED), Reason: err.Error()})
 	return report, err
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -133,6 +133,7 @@
 	err := s.handler.CheckWait(c.Path[0].Server, incarnation)
 	if err == nil {
 		err = s.handler.Replicas.Repath(ctx, s.head.Attempt, c.Path)
+		s.handler.ObserveWait(c.Path[0].Server, incarnation, err)
 	}
 	s.log("RequestMoved", slog.LevelInfo, "attempt", c.Attempt, "reason", c.Reason, "error", errorText(err))
 	moved := flow.Repathed{Attempt: c.Attempt, Err: err}
--- a/replica.go
+++ b/replica.go
@@ -94,6 +94,10 @@
 		Repath(ctx context.Context, a AttemptID, p Path) error
 	}
 
+	// WaitError is the error of a call to a replica that refuses it and wants nothing from this VM for some time; it wraps
+	// ErrUnavailable.
+	WaitError struct{ Wait time.Duration }
+
 	// PartRefusedError is the error of Repath if a part of the new path refuses the request; it wraps ErrConflict.
 	PartRefusedError struct{ Address string }
 
@@ -162,6 +166,12 @@
 	}
 )
 
+// Error returns a message with the time.
+func (e *WaitError) Error() string { return "replica wants nothing for " + e.Wait.String() }
+
+// Unwrap returns ErrUnavailable.
+func (e *WaitError) Unwrap() error { return ErrUnavailable }
+
 // Error returns a message with the address of the part.
 func (e *PartRefusedError) Error() string { return "part " + e.Address + " does not take the request" }
 
