--- a/share/doc.go
+++ b/share/doc.go
@@ -5,5 +5,8 @@
 //
 // Directory wraps the store's Directory. On a reader it asks the store and keeps
 // the recent changes. On any other VM it asks the readers of its failure domain,
-// and the store if no reader answers or none has reached the store recently.
+// and the store if no reader answers or none has reached the store recently. A
+// reader that does not know all changes since a VM's position, because its log
+// does not reach back or the store has come back from an older copy since, sends
+// all entries, and the VM finds the differences.
 package share
