--- a/cmd/faults/main.go
+++ b/cmd/faults/main.go
@@ -110,12 +110,17 @@
 	}
 	err = w.injectFaults(r, o)
 	deadline := time.Now().Add(recoveryTime)
+	var checks sync.WaitGroup
 	for _, v := range w.vms {
-		if !w.serves(v, requiredStreams, deadline) {
-			w.callers.recordViolation("%s did not serve %d consecutive streams within %s after the last fault", v.name, requiredStreams, recoveryTime)
-		}
+		checks.Go(func() {
+			if !w.serves(v, requiredStreams, deadline) {
+				w.callers.recordViolation("%s did not serve %d consecutive streams within %s after the last fault", v.name, requiredStreams, recoveryTime)
+			}
+		})
 	}
+	checks.Wait()
 	w.checkKeys()
+	w.checkRegistered(deadline)
 	close(stop)
 	wait.Wait()
 	w.checkEnd()
@@ -154,9 +159,6 @@
 // checkEnd makes the checks that are possible only at the end of a run.
 func (w *testRun) checkEnd() {
 	w.callers.checkOrders()
-	if n := len(w.store.Keys("vm/")); n < len(w.vms) {
-		w.callers.recordViolation("%d of %d VMs are registered after the last fault", n, len(w.vms))
-	}
 	w.callers.checkLeaving(w.started)
 	w.callers.checkWaits(w.started)
 	for _, f := range w.fleet.CallerErrors() {
--- a/cmd/faults/plan.go
+++ b/cmd/faults/plan.go
@@ -84,8 +84,9 @@
 		}
 		// What VMs write from here on is lost; the operator and the replicas write theirs again.
 		copied := w.store.Copy()
-		time.AfterFunc(randomDuration(r, minFaultTime, maxFaultTime), func() { w.store.SetDown(true) })
+		away := time.AfterFunc(randomDuration(r, minFaultTime, maxFaultTime), func() { w.store.SetDown(true) })
 		return "store", func() error {
+			away.Stop()
 			w.store.SetDown(true)
 			w.store.Restore(copied)
 			w.writeAgain()
