faults: a restart excuses a VM, and faults do not reach one that starts

A restart since then excuses it on the users' pages; the check knew of the signal only. It knows of starts now.

--- a/cmd/faults/plan.go
+++ b/cmd/faults/plan.go
@@ -184,7 +184,8 @@
 		if err := v.wait(); err != nil {
 			return err
 		}
-		w.release(v.name)
+		// Another fault must not reach the VM before it runs again.
+		defer w.release(v.name)
 		return v.start()
 	}
 }
--- a/cmd/faults/vm.go
+++ b/cmd/faults/vm.go
@@ -35,8 +35,8 @@
 	exitExpected bool
 	// unexpected counts exits without such a signal.
 	unexpected int
-	// signalledAt holds when signals were sent that end, pause or wake the process.
-	signalledAt []time.Time
+	// disturbedAt holds when the process was started, and when signals were sent that end, pause or wake it.
+	disturbedAt []time.Time
 }
 
 // vmAddresses is the number of addresses on which a VM listens.
@@ -77,6 +77,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.command, v.ended, v.exitExpected = c, make(chan struct{}), false
+	v.disturbedAt = append(v.disturbedAt, time.Now())
 	ended := v.ended
 	go func() {
 		if err := c.Wait(); err != nil {
@@ -100,18 +101,18 @@
 	defer v.mu.Unlock()
 	v.exitExpected = v.exitExpected || exits
 	if s != syscall.SIGHUP {
-		v.signalledAt = append(v.signalledAt, time.Now())
+		v.disturbedAt = append(v.disturbedAt, time.Now())
 	}
 	if err := v.command.Process.Signal(s); err != nil {
 		fmt.Printf("%s: signal %v not sent: %v\n", v.name, s, err)
 	}
 }
 
-// undisturbed reports whether the process was neither ended, paused nor woken between two times.
+// undisturbed reports whether the process was neither started, ended, paused nor woken between two times.
 func (v *vm) undisturbed(from, to time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return !slices.ContainsFunc(v.signalledAt, func(at time.Time) bool { return at.After(from) && at.Before(to) })
+	return !slices.ContainsFunc(v.disturbedAt, func(at time.Time) bool { return at.After(from) && at.Before(to) })
 }
 
 // unexpectedExits returns the number of times that the process ended without a signal from this program.
