--- a/flow/message.go
+++ b/flow/message.go
@@ -111,5 +111,7 @@
 		Refusal  *teaselstream.Error
 		// CallerLeft reports that the caller disconnected, so that no answer can be sent.
 		CallerLeft bool
+		// Reason says why an answer that has begun is cut; it is empty for all other ends.
+		Reason string
 	}
 )
--- a/flow/retry.go
+++ b/flow/retry.go
@@ -93,7 +93,7 @@
 func (s *Stream) fail(code teaselstream.Code, message string, retryAfter time.Duration) []teaselstream.Cmd {
 	s.done = true
 	if s.delivered {
-		return []teaselstream.Cmd{Finish{}}
+		return []teaselstream.Cmd{Finish{Reason: message}}
 	}
 	e := &teaselstream.Error{Code: code, Outcome: teaselstream.NotRun, Message: message, RetryAfter: retryAfter}
 	if s.mayHaveRun {
@@ -144,7 +144,7 @@
 	s.done = true
 	cmds := []teaselstream.Cmd{Abort{s.Attempt, "deadline exceeded"}}
 	if s.delivered {
-		return append(cmds, Finish{})
+		return append(cmds, Finish{Reason: "deadline exceeded"})
 	}
 	e := &teaselstream.Error{Code: teaselstream.CodeDeadlineExceeded, Outcome: teaselstream.Unknown, Message: "time for the answer is up"}
 	return append(cmds, Finish{Refusal: e})
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -345,7 +345,7 @@
 	if err := s.Respond(a.status, a.header, a.body); err != nil {
 		s.log("AnswerNotDelivered", slog.LevelInfo, "error", err.Error())
 	}
-	s.recordEnd("PassedOn", teaselstream.Ran)
+	s.recordEnd("PassedOn", teaselstream.Ran, "")
 }
 
 func (s *streamRunner) finish(c flow.Finish) {
@@ -361,13 +361,13 @@
 			s.log("AnswerNotDelivered", slog.LevelInfo, "error", err.Error())
 		}
 		s.handler.streamDurations.add(time.Since(s.Arrived))
-		s.recordEnd("", teaselstream.Ran)
+		s.recordEnd("", teaselstream.Ran, "")
 	case c.CallerLeft:
 		s.Abort()
-		s.recordEnd(teaselstream.CodeCanceled, teaselstream.Unknown)
+		s.recordEnd(teaselstream.CodeCanceled, teaselstream.Unknown, "caller left")
 	default:
 		s.Abort()
-		s.recordEnd(teaselstream.CodeServerLost, teaselstream.Unknown)
+		s.recordEnd(teaselstream.CodeServerLost, teaselstream.Unknown, c.Reason)
 	}
 }
 
@@ -386,8 +386,8 @@
 	s.log("PathNotFound", slog.LevelInfo, "uncovered", uncovered, "cut", cut, "viewAgeMs", now.Sub(v.At).Milliseconds(), "storeLost", v.StoreLost)
 }
 
-func (s *streamRunner) recordEnd(code teaselstream.Code, o teaselstream.Outcome) {
+func (s *streamRunner) recordEnd(code teaselstream.Code, o teaselstream.Outcome, reason string) {
 	s.recordOutcome(code, o)
-	s.log("RequestEnded", slog.LevelInfo, "code", string(code), "firstMs", s.firstEventDelay.Milliseconds(), "events", s.events,
+	s.log("RequestEnded", slog.LevelInfo, "code", string(code), "reason", reason, "firstMs", s.firstEventDelay.Milliseconds(), "events", s.events,
 		"longestPauseMs", s.longestGap.Milliseconds(), "attempts", s.core.Attempt, "moves", s.moves, "path", s.core.Path.Servers())
 }
