flow, proxy: end a running attempt only for one that a server has taken

Callers saw streams cut beside releases, changes of the configuration and planned stops (LOST), although their servers went on.

Cause: a move that was refused for lack of room counted as the loss of the path, and a first server that was silent for two probes as a lost one. The running attempt was aborted before another server had taken the request; the others had no room, and the stream was cut 1.6 s after its last event.

Change: the other attempt is opened beside the running one, at another first server, and the running one ends when that has answered with success. A refusal, or an event of the running attempt, ends the other one instead. A part that is leaving is left by a move, which is tried again, or not at all. An event shows that the first server works again. If the running attempt breaks off, the stream goes on with the other one. Refused replacements do not use up the attempts after a later loss.

--- a/flow/loss.go
+++ b/flow/loss.go
@@ -29,7 +29,7 @@
 	}
 	if silent > hungTimeout && s.mayRunAgain() && s.serversUsed() < max(s.MaxServers, 1) {
 		s.avoid[s.Path[0].Server] = true
-		return s.reopenElsewhere(now, "no event")
+		return s.openReplacement(now, "no event")
 	}
 	s.probing = true
 	s.probeDelay = time.Duration(float64(s.probeDelay) * probeDelayFactor)
@@ -48,7 +48,7 @@
 	if stalled != "" && stalled != s.Path[0].Server {
 		s.avoid[stalled] = true
 	}
-	return s.moveOrReopen(now, "part does not answer")
+	return s.moveOrReplace(now, "part does not answer")
 }
 
 func (s *Stream) onServersDown(now time.Time, m ServersDown) []teaselstream.Cmd {
@@ -58,25 +58,27 @@
 	if s.moving || !s.reopenAt.IsZero() || len(s.Path) == 0 {
 		return nil
 	}
-	return s.moveOrReopen(now, "part is down")
+	return s.moveOrReplace(now, "part is down")
 }
 
-// moveOrReopen takes the request off the servers in avoid: by a move if the first server stays, otherwise by a new attempt.
-func (s *Stream) moveOrReopen(now time.Time, reason string) []teaselstream.Cmd {
+// moveOrReplace takes the request off the servers in avoid: by a move if the first server stays, otherwise by a new attempt. Parts that
+// are only leaving are left by a move or not at all.
+func (s *Stream) moveOrReplace(now time.Time, reason string) []teaselstream.Cmd {
 	if s.avoid[s.Path[0].Server] {
-		return s.reopenElsewhere(now, reason)
+		return s.openReplacement(now, reason)
 	}
-	hit := false
+	lost, leaving := false, false
 	for _, p := range s.Path {
-		hit = hit || s.avoid[p.Server]
+		lost = lost || s.avoid[p.Server]
+		leaving = leaving || s.leaving[p.Server]
 	}
-	if !hit {
+	if !lost && !leaving {
 		return nil
 	}
-	path, stepTime, ok := s.Planner.Plan(now, s.excludedFromMove(now), s.Path[0].Server)
-	if ok && path[0] != s.Path[0] {
-		// A move keeps the first part with its layer range unchanged.
-		ok = false
+	excluded := s.excludedForNow(now)
+	path, stepTime, ok := s.planMove(now, excluded, s.leaving)
+	if !ok && lost {
+		path, stepTime, ok = s.planMove(now, excluded, nil)
 	}
 	if ok && s.repaths < maxRepaths {
 		s.repaths++
@@ -85,25 +87,20 @@
 		s.Path, s.stepTime = path, stepTime
 		return []teaselstream.Cmd{Repath{s.Attempt, path, reason}}
 	}
-	return s.reopenElsewhere(now, reason)
-}
-
-// reopenElsewhere replaces the running attempt by a new one if a path, the route and the retry budget allow that now.
-// Otherwise the attempt is kept: its server may continue, and a pause alone is no reason to end an answer.
-func (s *Stream) reopenElsewhere(now time.Time, reason string) []teaselstream.Cmd {
-	s.markMayHaveRun()
-	if now.Sub(s.lastActivity) < nextEventProbeDelay {
-		// There was activity recently, so the path still works although a server in avoid is part of it. It is probed again
-		// if no event follows.
-		s.probeDelay = nextEventProbeDelay
-		return nil
-	}
-	_, _, ok := s.Planner.Plan(now, s.avoid, "")
-	if !ok || !s.mayRunAgain() || s.attempts >= maxStreamAttempts || s.serversUsed() >= max(s.MaxServers, 1) || !s.mayRetry() {
-		s.probeDelay = now.Sub(s.lastActivity) + replanInterval
+	if !lost {
 		return nil
 	}
-	return append([]teaselstream.Cmd{Abort{s.Attempt, reason}}, s.open(now, reason)...)
+	return s.openReplacement(now, reason)
+}
+
+// planMove returns a path for a move, which keeps the first part with its layer range unchanged and uses no server of the two sets.
+func (s *Stream) planMove(now time.Time, excluded, leaving map[teaselstream.ServerID]bool) (teaselstream.Path, time.Duration, bool) {
+	if len(leaving) > 0 {
+		excluded = maps.Clone(excluded)
+		maps.Copy(excluded, leaving)
+	}
+	path, stepTime, ok := s.Planner.Plan(now, excluded, s.Path[0].Server)
+	return path, stepTime, ok && path[0] == s.Path[0]
 }
 
 func (s *Stream) onRepathed(now time.Time, m Repathed) []teaselstream.Cmd {
@@ -120,15 +117,15 @@
 	refused := s.Path
 	s.Path = s.previousPath
 	if !errors.Is(m.Err, teaselstream.ErrConflict) {
-		return s.reopenElsewhere(now, "move failed")
+		return s.openReplacement(now, "move failed")
 	}
 	// The first server still runs the request, so another move is tried before a new attempt.
 	if fault := s.Planner.Resolve(m.Fault); fault != "" {
-		s.moveRefusedAt[fault] = now
+		s.refusedAt[fault] = now
 	} else {
 		s.markMoveRefused(now, refused)
 	}
-	return s.moveOrReopen(now, "move refused")
+	return s.moveOrReplace(now, "move refused")
 }
 
 // markMoveRefused excludes all servers that a refused move would have added, since the one that refused is not known.
@@ -136,32 +133,31 @@
 	current := s.Path.Servers()
 	for _, p := range path {
 		if !slices.Contains(current, p.Server) {
-			s.moveRefusedAt[p.Server] = now
+			s.refusedAt[p.Server] = now
 		}
 	}
 }
 
-// excludedFromMove returns the servers that a move must not use: those in avoid and those that refused a move recently.
-func (s *Stream) excludedFromMove(now time.Time) map[teaselstream.ServerID]bool {
-	if len(s.moveRefusedAt) == 0 {
-		return s.avoid
-	}
+// excludedForNow returns the servers that neither a move nor a replacement uses now: those in avoid and those that refused either
+// recently.
+func (s *Stream) excludedForNow(now time.Time) map[teaselstream.ServerID]bool {
 	out := maps.Clone(s.avoid)
-	for id, at := range s.moveRefusedAt {
-		if now.Sub(at) < moveRefusalTime {
+	for id, at := range s.refusedAt {
+		if now.Sub(at) < refusalTime {
 			out[id] = true
 		}
 	}
 	return out
 }
 
-// MoveOff moves the stream off a server of its path that will soon stop, unless that is the first one.
+// MoveOff moves the stream off a server of its path that will soon stop, unless that is the first one. A move that was refused is tried
+// again, since the server still works meanwhile.
 func (s *Stream) MoveOff(now time.Time, id teaselstream.ServerID) []teaselstream.Cmd {
-	if s.done || s.moving || s.avoid[id] || !s.opened || len(s.Path) == 0 || s.Path[0].Server == id {
+	if s.done || s.moving || s.avoid[id] || !s.opened || len(s.Path) == 0 || s.Path[0].Server == id || now.Sub(s.moveOffAt) < refusalTime {
 		return nil
 	}
-	s.avoid[id] = true
-	return s.moveOrReopen(now, "part is leaving")
+	s.leaving[id], s.moveOffAt = true, now
+	return s.moveOrReplace(now, "part is leaving")
 }
 
 // Outlasts estimates, from the rate at which a stream produced events in the time running, whether its expected number of
--- a/flow/retry.go
+++ b/flow/retry.go
@@ -16,6 +16,10 @@
 		s.avoid[id] = true
 	}
 	cmds := []teaselstream.Cmd{Abort{s.Attempt, "refused as not run"}}
+	if s.replacement.pending() {
+		s.adoptReplacement(now)
+		return cmds
+	}
 	if s.attempts >= maxStreamAttempts {
 		if s.callerWaits(now) {
 			s.retryUncharged = true
@@ -45,13 +49,25 @@
 	return retryAfterRefusals
 }
 
-// retryOrFail opens another attempt if the route, the retry budget and the number of servers used allow it, and otherwise
-// waits for the budget or ends the request.
+// retryOrFail follows the end of the running attempt. It goes on with the replacement if there is one, opens another attempt if the
+// route, the retry budget and the number of servers used allow it, and otherwise waits for the budget or ends the request.
 func (s *Stream) retryOrFail(now time.Time, reason string) []teaselstream.Cmd {
+	if s.replacement.pending() {
+		s.adoptReplacement(now)
+		return nil
+	}
 	if s.mayHaveRun && !s.mayRunAgain() {
 		return s.fail(teaselstream.CodeServerLost, reason, 0)
 	}
-	if s.attempts >= maxStreamAttempts || s.serversUsed() >= max(s.MaxServers, 1) {
+	if s.serversUsed() >= max(s.MaxServers, 1) {
+		return s.fail(teaselstream.CodeServerLost, reason, retryAfterRefusals)
+	}
+	if s.attempts >= maxStreamAttempts {
+		if s.callerWaits(now) {
+			s.retryUncharged = true
+			s.reopenAt = now.Add(lateRetryInterval)
+			return nil
+		}
 		return s.fail(teaselstream.CodeServerLost, reason, retryAfterRefusals)
 	}
 	if s.possiblyRan > 0 && !s.mayRetry() {
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -31,9 +31,9 @@
 	lateRetryInterval = 250 * time.Millisecond
 	// maxRepaths bounds the moves of one attempt, refused ones included; few other servers hold the layers of a part.
 	maxRepaths = 6
-	// moveRefusalTime is how long a server that refused a move is excluded from further moves. Requests end every few tens of
-	// milliseconds, so that a full server soon has room.
-	moveRefusalTime = 300 * time.Millisecond
+	// refusalTime is how long a server that refused a move or a replacement of the running attempt is excluded from both. Requests
+	// end every few tens of milliseconds, so that a full server soon has room.
+	refusalTime = 300 * time.Millisecond
 	// refusalBackoff is the wait after the second refusal; it doubles with each further one.
 	refusalBackoff = 40 * time.Millisecond
 	// retryAfterRefusals is the Retry-After of a request that servers refused or that could not be sent. A typical stream
@@ -109,8 +109,14 @@
 		// previousPath is the path before a move in progress; it is restored if the move fails.
 		previousPath teaselstream.Path
 		avoid        map[teaselstream.ServerID]bool
-		// moveRefusedAt holds when each server refused a move for lack of memory.
-		moveRefusedAt map[teaselstream.ServerID]time.Time
+		// leaving holds the parts that will soon stop but still work, so that they are a reason to move and none to end the attempt.
+		leaving map[teaselstream.ServerID]bool
+		// moveOffAt is when a move off a leaving part was last tried.
+		moveOffAt time.Time
+		// refusedAt holds when each server refused a move or a replacement for lack of room.
+		refusedAt map[teaselstream.ServerID]time.Time
+		// replacement is the attempt that is opened beside the running one.
+		replacement replacement
 		// attempts counts the times the request was sent, possiblyRan the attempts that may have run, and repaths the moves of
 		// the current attempt.
 		attempts, possiblyRan, repaths int
@@ -150,7 +156,8 @@
 	switch m := m.(type) {
 	case Start:
 		s.avoid = make(map[teaselstream.ServerID]bool)
-		s.moveRefusedAt = make(map[teaselstream.ServerID]time.Time)
+		s.leaving = make(map[teaselstream.ServerID]bool)
+		s.refusedAt = make(map[teaselstream.ServerID]time.Time)
 		s.lastEventID = s.LastEvent
 		return s.open(now, "first")
 	case Opened:
@@ -220,20 +227,31 @@
 		// Another request has been faster.
 		return s.waitForLimit(now, 0)
 	}
-	s.Attempt++
 	s.attempts++
-	s.Path, s.stepTime = path, stepTime
+	s.begin(now, teaselstream.Attempt(s.attempts), path, stepTime)
+	return []teaselstream.Cmd{Open{Attempt: s.Attempt, Path: path, LastEvent: s.resumeAfter(), Reason: reason}}
+}
+
+// begin makes an attempt the running one.
+func (s *Stream) begin(now time.Time, n teaselstream.Attempt, path teaselstream.Path, stepTime time.Duration) {
+	s.Attempt, s.Path, s.stepTime = n, path, stepTime
 	s.repaths, s.probing, s.moving, s.opened, s.attemptMayHaveRun, s.attemptDelivered = 0, false, false, false, false, false
 	s.lastActivity, s.reopenAt = now, time.Time{}
 	s.probeDelay = firstEventProbeDelay
-	lastEventID := uint64(0)
-	if s.lastEventID != s.LastEvent {
-		lastEventID = s.lastEventID
+}
+
+// resumeAfter returns the number of the event after which a new attempt goes on, or 0 if the caller's own header already says it.
+func (s *Stream) resumeAfter() uint64 {
+	if s.lastEventID == s.LastEvent {
+		return 0
 	}
-	return []teaselstream.Cmd{Open{Attempt: s.Attempt, Path: path, LastEvent: lastEventID, Reason: reason}}
+	return s.lastEventID
 }
 
 func (s *Stream) onOpened(now time.Time, m Opened) []teaselstream.Cmd {
+	if s.replacement.pending() && m.Attempt == s.replacement.attempt {
+		return s.onReplacementOpened(now, m)
+	}
 	if m.Attempt != s.Attempt {
 		return nil
 	}
@@ -252,6 +270,9 @@
 	default:
 		// The server may have run the request and answers with a failure status.
 		s.markMayHaveRun()
+		if s.replacement.pending() {
+			return append([]teaselstream.Cmd{Abort{s.Attempt, "failure status"}}, s.retryOrFail(now, "failure status")...)
+		}
 		if s.delivered {
 			return s.retryOrFail(now, "failure status")
 		}
@@ -268,11 +289,16 @@
 func (s *Stream) markMayHaveRun() {
 	if !s.attemptMayHaveRun {
 		s.attemptMayHaveRun = true
-		s.possiblyRan++
-		if !slices.Contains(s.ranOn, s.Path[0].Server) {
-			s.ranOn = append(s.ranOn, s.Path[0].Server)
-		}
-		s.mayHaveRun = true
+		s.markRan(s.Path[0].Server)
+	}
+}
+
+// markRan records that an attempt may have run at a first server.
+func (s *Stream) markRan(first teaselstream.ServerID) {
+	s.mayHaveRun = true
+	s.possiblyRan++
+	if !slices.Contains(s.ranOn, first) {
+		s.ranOn = append(s.ranOn, first)
 	}
 }
 
@@ -308,7 +334,9 @@
 	}
 	s.delivered, s.attemptDelivered, s.lastEventAt = true, true, now
 	s.probeDelay = nextEventProbeDelay
-	return []teaselstream.Cmd{Deliver{s.Attempt, m.Data}}
+	// The first server works, whatever a probe of it showed.
+	delete(s.avoid, s.Path[0].Server)
+	return append([]teaselstream.Cmd{Deliver{s.Attempt, m.Data}}, s.dropReplacement("the running attempt goes on")...)
 }
 
 // isComment reports whether an event has no fields, as servers send it to keep a connection open.
@@ -322,6 +350,9 @@
 }
 
 func (s *Stream) onClosed(now time.Time, m Closed) []teaselstream.Cmd {
+	if s.replacement.pending() && m.Attempt == s.replacement.attempt {
+		return s.onReplacementClosed(m)
+	}
 	if m.Attempt != s.Attempt || !s.reopenAt.IsZero() {
 		return nil
 	}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"log/slog"
 	"net/http"
 	"time"
@@ -10,7 +9,6 @@
 	"github.com/teaselstream/teaselstream/chain"
 	"github.com/teaselstream/teaselstream/fleet"
 	"github.com/teaselstream/teaselstream/flow"
-	"github.com/teaselstream/teaselstream/meter"
 )
 
 const (
@@ -31,32 +29,17 @@
 		core           flow.Stream
 		inbox          chan teaselstream.Msg
 		done           chan struct{}
-		cancel         context.CancelFunc
-		responses      map[teaselstream.Attempt]*savedResponse
-		reserved       []*fleet.LoadEstimate
+		attempts       map[teaselstream.Attempt]*attempt
 		reservedTokens int64
 		lastView       *fleet.View
 		events         int
-		// attemptEvents counts the events of the current attempt.
-		attemptEvents int
-		// attemptAt is when the current attempt was opened.
-		attemptAt time.Time
-		// first is the first server of the current attempt, as it was known when the attempt was opened.
-		first       fleet.Member
-		lastEventAt time.Time
-		longestGap  time.Duration
-		moves       int
+		lastEventAt    time.Time
+		longestGap     time.Duration
+		moves          int
 		// drainJitter in [0, 1) spreads the times at which streams leave the same draining server.
 		drainJitter float64
 	}
 
-	// savedResponse is the part of an attempt's response that is forwarded later; body is set for responses that are not streamed.
-	savedResponse struct {
-		status int
-		header http.Header
-		body   []byte
-	}
-
 	// openedResponse carries the start of an attempt's response to the request's goroutine.
 	openedResponse struct {
 		flow.Opened
@@ -75,8 +58,8 @@
 	h := r.handler
 	expectedTokens := r.expectedTokens()
 	s := &streamRunner{
-		request: r, inbox: make(chan teaselstream.Msg, inboxSize), done: make(chan struct{}), cancel: func() {},
-		responses: make(map[teaselstream.Attempt]*savedResponse), reservedTokens: int64(r.head.PromptTokens + expectedTokens), lastEventAt: r.Arrived, drainJitter: h.Rand.Float64(),
+		request: r, inbox: make(chan teaselstream.Msg, inboxSize), done: make(chan struct{}),
+		attempts: make(map[teaselstream.Attempt]*attempt), reservedTokens: int64(r.head.PromptTokens + expectedTokens), lastEventAt: r.Arrived, drainJitter: h.Rand.Float64(),
 	}
 	s.core.Options = flow.Options{
 		Planner: &streamPlanner{r, chain.PathRequest{
@@ -118,8 +101,7 @@
 
 func (s *streamRunner) stop() {
 	close(s.done)
-	s.cancel()
-	s.reserve(nil)
+	s.abortAll()
 }
 
 // nextCommands waits for the next message, timer or view change and returns the core's commands.
@@ -137,8 +119,7 @@
 	case m := <-s.inbox:
 		now = time.Now()
 		if a, ok := m.(openedResponse); ok {
-			s.responses[a.Attempt] = &a.head
-			s.recordLoad(now, a.Opened)
+			s.recordResponse(now, a)
 			return s.core.Update(now, a.Opened)
 		}
 		s.recordProgress(m)
@@ -154,60 +135,9 @@
 	}
 }
 
-// recordProgress counts the events of the current attempt and logs its end if the server broke it off.
-func (s *streamRunner) recordProgress(m teaselstream.Msg) {
-	switch m := m.(type) {
-	case flow.Event:
-		if m.Attempt != s.core.Attempt {
-			return
-		}
-		s.attemptEvents++
-		if s.attemptEvents == soundEvents {
-			s.reportSound()
-		}
-	case flow.Closed:
-		switch {
-		case m.Attempt != s.core.Attempt || m.NotSent:
-		case m.Complete && s.attemptEvents < soundEvents:
-			s.reportSound()
-		case !m.Complete:
-			s.recordBroken(m)
-		}
-	}
-}
-
-// recordBroken logs what ran on a server that broke off an answer, and reports the request if the server has ended before it
-// wrote an answer.
-func (s *streamRunner) recordBroken(m flow.Closed) {
-	begun := s.responses[m.Attempt] != nil
-	s.log("AttemptBroken", slog.LevelInfo, "attempt", m.Attempt, "server", string(s.core.Path[0].Server), "incarnation", uint64(s.first.Incarnation),
-		"begun", begun, "events", s.attemptEvents, "segments", s.head.Segments, "error", m.Reason)
-	if s.attemptEvents < soundEvents && s.first.Service != "" {
-		first := s.first
-		go s.reportLoss(&first, begun)
-	}
-}
-
-// recordLoad records the load that the first server of the path states in its response.
-func (s *streamRunner) recordLoad(now time.Time, o flow.Opened) {
-	if o.Answer.NotRun {
-		s.log("AttemptRefused", slog.LevelInfo, "attempt", o.Attempt, "status", o.Status, "server", string(s.core.Path[0].Server),
-			"fault", o.Answer.Fault, "running", o.Answer.Running, "waiting", o.Answer.Waiting)
-	}
-	if o.Attempt == s.core.Attempt {
-		s.handler.observeLimit(s.attemptAt, s.core.Path[0].Server, o.Answer)
-	}
-	if !o.Answer.HasLoad || o.Attempt != s.core.Attempt {
-		return
-	}
-	if m := s.handler.View().Members[s.core.Path[0].Server]; m != nil {
-		m.LoadEstimate.RecordReport(now, o.Answer.Running, o.Answer.Waiting, -1)
-	}
-}
-
 // checkView reports servers of the path that are down or draining in the current view to the core.
 func (s *streamRunner) checkView(now time.Time) []teaselstream.Cmd {
-	v := s.handler.View()
+	v, current := s.handler.View(), s.current()
 	drain := time.Duration((drainMoveFirst + (drainMoveLast-drainMoveFirst)*s.drainJitter) * float64(s.handler.Planner.DrainTime))
 	var lost []teaselstream.ServerID
 	var cmds []teaselstream.Cmd
@@ -217,12 +147,12 @@
 		case m == nil:
 		case v != s.lastView && m.State == fleet.Down:
 			lost = append(lost, p.Server)
-		case m.State == fleet.Leaving && now.Sub(m.LeavingSince) > drain && s.handler.Notices.Wait(now, s.first.ID, s.first.Incarnation) <= 0 && s.outlastsDrain(now, m):
+		case m.State == fleet.Leaving && now.Sub(m.LeavingSince) > drain && s.handler.Notices.Wait(now, current.first.ID, current.first.Incarnation) <= 0 && s.outlastsDrain(now, m):
 			cmds = append(cmds, s.core.MoveOff(now, p.Server)...)
 		}
 	}
 	s.lastView = v
-	if s.attemptEvents == 0 && !s.mayRun() {
+	if current.events == 0 && !s.mayRun() {
 		return append(cmds, s.core.Update(now, flow.Harmful{})...)
 	}
 	if len(lost) > 0 {
@@ -245,15 +175,14 @@
 		case flow.Open:
 			s.open(c)
 		case flow.Abort:
-			s.cancel()
-			s.reserve(nil)
+			s.abort(c.Attempt)
 			s.log("AttemptAborted", slog.LevelInfo, "attempt", c.Attempt, "reason", c.Reason)
 		case flow.Probe:
 			go s.probe(c)
 		case flow.Repath:
 			s.moves++
-			s.reserve(c.Path)
-			go s.repath(c, s.first.Incarnation)
+			s.reserve(s.current(), c.Path)
+			go s.repath(c, s.current().first.Incarnation)
 		case flow.Deliver:
 			if !s.deliver(c) {
 				return s.execute(s.core.Update(time.Now(), flow.CallerDisconnected{}))
@@ -269,47 +198,6 @@
 	return false
 }
 
-// reserve moves this request's counts of tokens and requests in use to the servers of another path.
-func (s *streamRunner) reserve(path teaselstream.Path) {
-	for _, u := range s.reserved {
-		u.OwnTokens.Add(-s.reservedTokens)
-		u.OwnRequests.Add(-1)
-	}
-	s.reserved = s.reserved[:0]
-	v := s.handler.View()
-	for _, p := range path {
-		if m := v.Members[p.Server]; m != nil {
-			m.LoadEstimate.OwnTokens.Add(s.reservedTokens)
-			m.LoadEstimate.OwnRequests.Add(1)
-			s.reserved = append(s.reserved, m.LoadEstimate)
-		}
-	}
-}
-
-func (s *streamRunner) open(c flow.Open) {
-	s.cancel()
-	s.reserve(c.Path)
-	ctx, cancel := context.WithDeadline(context.Background(), s.deadline)
-	s.cancel, s.attemptEvents, s.attemptAt = cancel, 0, time.Now()
-	// A server that has left the view since the path was planned is known by its place in the path only.
-	s.first = fleet.Member{Replica: teaselstream.Replica{ID: c.Path[0].Server, Address: c.Path[0].Address}}
-	if m := s.handler.View().Members[c.Path[0].Server]; m != nil {
-		s.first = *m
-	}
-	if c.Attempt > 1 {
-		s.handler.Meter.Count(meter.Retry, 1)
-		s.log("RequestSentAgain", slog.LevelInfo, "attempt", c.Attempt, "reason", c.Reason, "server", string(c.Path[0].Server),
-			"lastEvent", c.LastEvent, "viewAgeMs", time.Since(s.handler.View().At).Milliseconds())
-	}
-	header := endToEndHeader(s.Header)
-	s.handler.Dialect.Dispatch(header, teaselstream.Dispatch{
-		Team: s.caller.Team, Server: c.Path[0].Server, TimeLeft: s.timeLeft(time.Now()), Path: c.Path, LastEvent: c.LastEvent,
-	})
-	m := &outgoingRequest{method: s.Method, target: s.Target, host: s.Host, header: header, body: s.Body}
-	first := s.first
-	go s.runAttempt(ctx, c, &first, m)
-}
-
 func errorText(err error) string {
 	if err == nil {
 		return ""
@@ -321,8 +209,8 @@
 func (s *streamRunner) deliver(c flow.Deliver) bool {
 	now := time.Now()
 	if !s.ResponseStarted() {
-		a := s.responses[c.Attempt]
-		if a == nil || s.StartResponse(a.status, a.header) != nil {
+		a := s.attempts[c.Attempt]
+		if a == nil || a.response == nil || s.StartResponse(a.response.status, a.response.header) != nil {
 			return false
 		}
 		s.firstEventDelay = now.Sub(s.Arrived)
@@ -337,12 +225,12 @@
 }
 
 func (s *streamRunner) passThrough(c flow.PassThrough) {
-	a := s.responses[c.Attempt]
-	if a == nil {
+	a := s.attempts[c.Attempt]
+	if a == nil || a.response == nil {
 		s.refuse(http.StatusBadGateway, &teaselstream.Error{Code: teaselstream.CodeServerLost, Message: "answer is lost"})
 		return
 	}
-	if err := s.Respond(a.status, a.header, a.body); err != nil {
+	if err := s.Respond(a.response.status, a.response.header, a.response.body); err != nil {
 		s.log("AnswerNotDelivered", slog.LevelInfo, "error", err.Error())
 	}
 	s.recordEnd("PassedOn", teaselstream.Ran, "")
