flow: leave a leaving part with one move, and by no new attempt

Cause: a stream whose move off a leaving part was refused tried the next servers at once, and every 300 ms again. Each refusal keeps new work of the VM off a server for a second, and each move that succeeds makes the new part read all tokens of the stream, although most streams end before their part does.

A new attempt is opened only for a part that is lost.

--- a/flow/loss.go
+++ b/flow/loss.go
@@ -67,14 +67,13 @@
 	if s.avoid[s.Path[0].Server] {
 		return s.openReplacement(now, reason)
 	}
-	lost, leaving := false, false
-	for _, p := range s.Path {
-		lost = lost || s.avoid[p.Server]
-		leaving = leaving || s.leaving[p.Server]
-	}
-	if !lost && !leaving {
+	lost := s.lostPart()
+	if !lost && !slices.ContainsFunc(s.Path, func(p teaselstream.Part) bool { return s.leaving[p.Server] }) {
 		return nil
 	}
+	if !lost {
+		reason = "part is leaving"
+	}
 	excluded := s.excludedForNow(now)
 	path, stepTime, ok := s.planMove(now, excluded, s.leaving)
 	if !ok && lost {
@@ -117,6 +116,9 @@
 	refused := s.Path
 	s.Path = s.previousPath
 	if !errors.Is(m.Err, teaselstream.ErrConflict) {
+		if !s.lostPart() {
+			return nil
+		}
 		return s.openReplacement(now, "move failed")
 	}
 	// The first server still runs the request, so another move is tried before a new attempt.
@@ -125,9 +127,18 @@
 	} else {
 		s.markMoveRefused(now, refused)
 	}
+	if !s.lostPart() {
+		// A part that leaves still works.
+		return nil
+	}
 	return s.moveOrReplace(now, "move refused")
 }
 
+// lostPart reports whether a server of the running attempt's path is in avoid.
+func (s *Stream) lostPart() bool {
+	return slices.ContainsFunc(s.Path, func(p teaselstream.Part) bool { return s.avoid[p.Server] })
+}
+
 // markMoveRefused excludes all servers that a refused move would have added, since the one that refused is not known.
 func (s *Stream) markMoveRefused(now time.Time, path teaselstream.Path) {
 	current := s.Path.Servers()
@@ -150,13 +161,13 @@
 	return out
 }
 
-// MoveOff moves the stream off a server of its path that will soon stop, unless that is the first one. A move that was refused is tried
-// again, since the server still works meanwhile.
+// MoveOff moves the stream off a server of its path that will soon stop, unless that is the first one. A refused move is repeated only
+// if a pause follows: most streams end in time, and moves that are repeated fill the other servers with prompts to read again.
 func (s *Stream) MoveOff(now time.Time, id teaselstream.ServerID) []teaselstream.Cmd {
-	if s.done || s.moving || s.avoid[id] || !s.opened || len(s.Path) == 0 || s.Path[0].Server == id || now.Sub(s.moveOffAt) < refusalTime {
+	if s.done || s.moving || s.avoid[id] || s.leaving[id] || !s.opened || len(s.Path) == 0 || s.Path[0].Server == id {
 		return nil
 	}
-	s.leaving[id], s.moveOffAt = true, now
+	s.leaving[id] = true
 	return s.moveOrReplace(now, "part is leaving")
 }
 
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -111,8 +111,6 @@
 		avoid        map[teaselstream.ServerID]bool
 		// leaving holds the parts that will soon stop but still work, so that they are a reason to move and none to end the attempt.
 		leaving map[teaselstream.ServerID]bool
-		// moveOffAt is when a move off a leaving part was last tried.
-		moveOffAt time.Time
 		// refusedAt holds when each server refused a move or a replacement for lack of room.
 		refusedAt map[teaselstream.ServerID]time.Time
 		// replacement is the attempt that is opened beside the running one.
