stand/plat: replicas that fall silent for a time and go on

A paused replica reads and sends nothing, runs no step and writes no entry until the pause ends; its connections stay open and what was sent to it meanwhile takes effect then, as with a process that gets no processor. A report is now answered without the replica's lock, which a pause would have held while other replicas take it for the steps of their streams.

--- a/cmd/stand/plat/replica.go
+++ b/cmd/stand/plat/replica.go
@@ -55,6 +55,7 @@
 		address  string
 		listener net.Listener
 		server   *http.Server
+		pause    pause
 
 		mu            sync.Mutex
 		incarnation   int64
@@ -108,7 +109,7 @@
 	f.replicas[r.address] = r
 	f.mu.Unlock()
 	go func() {
-		if err := r.server.Serve(l); err != nil && err != http.ErrServerClosed {
+		if err := r.server.Serve(pausedListener{l, &r.pause}); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			f.recordError("replica %s: %v", id, err)
 		}
 	}()
@@ -189,6 +190,7 @@
 	r.mu.Lock()
 	r.killed = true
 	r.mu.Unlock()
+	r.Pause(0)
 	if err := r.server.Close(); err != nil {
 		return fmt.Errorf("kill replica %s: %w", r.id, err)
 	}
@@ -200,6 +202,7 @@
 
 // writeEntry writes the replica's entry to the store unless the replica was killed.
 func (r *Replica) writeEntry() {
+	r.pause.wait()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.killed {
@@ -229,11 +232,12 @@
 func (r *Replica) isUnresponsive() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.unresponsive
+	return r.unresponsive || r.pause.active()
 }
 
 // ServeHTTP handles requests, placement orders and load reports.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	r.pause.wait()
 	if r.isUnresponsive() {
 		<-q.Context().Done()
 		return
@@ -265,17 +269,19 @@
 
 func (r *Replica) report(w http.ResponseWriter) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	stalled := []map[string]string{}
 	for id, s := range r.running {
 		if s.stalled != "" {
 			stalled = append(stalled, map[string]string{"Id": id, "Address": s.stalled})
 		}
 	}
-	reply(w, http.StatusOK, map[string]any{
+	body := map[string]any{
 		"Layers": r.layers(), "Busy": r.busy, "Sequence": r.appliedOrders, "Running": len(r.running), "Waiting": 0, "KvInUse": len(r.running),
 		"KvCapacityTotal": 1000, "pace": 1, "born": r.incarnation, "Stalled": stalled,
-	})
+	}
+	r.mu.Unlock()
+	// A pause may hold the reply, and must not hold the lock with it: other replicas take it for the steps of their streams.
+	reply(w, http.StatusOK, body)
 }
 
 func (r *Replica) order(w http.ResponseWriter, q *http.Request) {
@@ -310,6 +316,7 @@
 	r.appliedOrders++
 	r.busy = true
 	time.AfterFunc(loadTime, func() {
+		r.pause.wait()
 		r.mu.Lock()
 		r.from, r.to, r.busy = o.Source, o.To, false
 		r.mu.Unlock()
@@ -344,6 +351,7 @@
 func (r *Replica) call(w http.ResponseWriter, q *http.Request) {
 	r.recordStart(q)
 	time.Sleep(callDuration)
+	r.pause.wait()
 	r.crashIfHarmful(q)
 	if q.URL.Query().Get("lose") != "" {
 		// The call has been executed, and the response is lost with the connection.
@@ -446,8 +454,9 @@
 func (r *Replica) step(q *http.Request, s *stream) bool {
 	for limit := time.Now().Add(stallTimeout); time.Now().Before(limit); {
 		time.Sleep(eventPeriod)
+		unresponsive := r.isUnresponsive()
 		r.mu.Lock()
-		path, unresponsive := s.path, r.unresponsive
+		path := s.path
 		r.mu.Unlock()
 		if q.Context().Err() != nil {
 			return false
