stand/plat: replicas finish what passes through layers that they give up

The simulated replica stopped a running stream as soon as a part of its path held its layers no longer, and took moves to replicas that do not hold theirs. The platform's replicas wait for what passes through layers that they give up, and refuse such a move with 409. Found by streams that never went on after a VM had ordered their first server to give up layers that others hold, beside a pause of others.

--- a/cmd/stand/plat/pause_test.go
+++ b/cmd/stand/plat/pause_test.go
@@ -28,9 +28,7 @@
 	if plain, err = f.Add("p0", "zone-a", ""); err != nil {
 		t.Fatal(err)
 	}
-	model.mu.Lock()
-	model.from, model.to = 0, 1
-	model.mu.Unlock()
+	model.hold(0, 1)
 	return f, model, plain
 }
 
--- a/cmd/stand/plat/replica.go
+++ b/cmd/stand/plat/replica.go
@@ -297,18 +297,12 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	if o.Operation == "repath" {
-		s := r.running[o.Id]
-		if s == nil {
-			w.WriteHeader(http.StatusNotFound)
-			return
-		}
-		s.path, s.stalled = o.Path, ""
-		w.WriteHeader(http.StatusAccepted)
+		r.repath(w, o.Id, o.Path)
 		return
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if o.Expected != nil && *o.Expected != r.appliedOrders {
 		w.WriteHeader(http.StatusConflict)
 		return
@@ -325,6 +319,28 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// repath moves a running stream to another path, unless a new part of it does not hold its layers.
+func (r *Replica) repath(w http.ResponseWriter, id, path string) {
+	r.mu.Lock()
+	s, old := r.running[id], ""
+	if s != nil {
+		old = s.path
+	}
+	r.mu.Unlock()
+	if s == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if blocked, misplaced := r.blockedHop(path, old); misplaced {
+		reply(w, http.StatusConflict, map[string]string{"Address": blocked})
+		return
+	}
+	r.mu.Lock()
+	s.path, s.stalled = path, ""
+	r.mu.Unlock()
+	w.WriteHeader(http.StatusAccepted)
+}
+
 func (r *Replica) recordStart(q *http.Request) {
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
@@ -376,8 +392,8 @@
 
 // blockedHop returns the address of the first hop of a path that cannot run the request, or "" if there is none.
 // The hop is misplaced if it does not hold its layers or does not continue the path; otherwise it does not
-// respond or does not exist.
-func (r *Replica) blockedHop(path string) (address string, misplaced bool) {
+// respond or does not exist. Hops of the path admitted may have given up their layers since: they wait for what passes through them.
+func (r *Replica) blockedHop(path, admitted string) (address string, misplaced bool) {
 	at := 0
 	for hop := range strings.SplitSeq(path, ",") {
 		where, layers, _ := strings.Cut(hop, "=")
@@ -393,7 +409,7 @@
 		if replica == nil || replica.isUnresponsive() {
 			return where, false
 		}
-		if a, b := replica.HeldLayers(); from < a || to > b {
+		if a, b := replica.HeldLayers(); (from < a || to > b) && !slices.Contains(strings.Split(admitted, ","), hop) {
 			return where, true
 		}
 	}
@@ -406,7 +422,7 @@
 // stream answers with numbered events up to the query's n, after the Last-Event-Id header.
 func (r *Replica) stream(w http.ResponseWriter, q *http.Request) {
 	path, id := q.Header.Get("X-Hop-Count"), q.Header.Get("X-Attempt-Id")
-	if blocked, misplaced := r.blockedHop(path); blocked != "" && misplaced {
+	if blocked, misplaced := r.blockedHop(path, ""); blocked != "" && misplaced {
 		w.Header().Set("At-Server", blocked)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -464,7 +480,7 @@
 		if unresponsive {
 			continue
 		}
-		blocked, _ := r.blockedHop(path)
+		blocked, _ := r.blockedHop(path, path)
 		if blocked == "" {
 			return true
 		}
