--- a/cmd/stand/plat/replica.go
+++ b/cmd/stand/plat/replica.go
@@ -55,6 +55,7 @@
 		address  string
 		listener net.Listener
 		server   *http.Server
+		pause    pause
 
 		mu            sync.Mutex
 		incarnation   int64
@@ -108,7 +109,7 @@
 	f.replicas[r.address] = r
 	f.mu.Unlock()
 	go func() {
-		if err := r.server.Serve(l); err != nil && err != http.ErrServerClosed {
+		if err := r.server.Serve(pausedListener{l, &r.pause}); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			f.recordError("replica %s: %v", id, err)
 		}
 	}()
@@ -189,6 +190,7 @@
 	r.mu.Lock()
 	r.killed = true
 	r.mu.Unlock()
+	r.Pause(0)
 	if err := r.server.Close(); err != nil {
 		return fmt.Errorf("kill replica %s: %w", r.id, err)
 	}
@@ -200,6 +202,7 @@
 
 // writeEntry writes the replica's entry to the store unless the replica was killed.
 func (r *Replica) writeEntry() {
+	r.pause.wait()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.killed {
@@ -229,11 +232,12 @@
 func (r *Replica) isUnresponsive() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.unresponsive
+	return r.unresponsive || r.pause.active()
 }
 
 // ServeHTTP handles requests, placement orders and load reports.
 func (r *Replica) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	r.pause.wait()
 	if r.isUnresponsive() {
 		<-q.Context().Done()
 		return
@@ -265,17 +269,19 @@
 
 func (r *Replica) report(w http.ResponseWriter) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	stalled := []map[string]string{}
 	for id, s := range r.running {
 		if s.stalled != "" {
 			stalled = append(stalled, map[string]string{"Id": id, "Address": s.stalled})
 		}
 	}
-	reply(w, http.StatusOK, map[string]any{
+	body := map[string]any{
 		"Layers": r.layers(), "Busy": r.busy, "Sequence": r.appliedOrders, "Running": len(r.running), "Waiting": 0, "KvInUse": len(r.running),
 		"KvCapacityTotal": 1000, "pace": 1, "born": r.incarnation, "Stalled": stalled,
-	})
+	}
+	r.mu.Unlock()
+	// A pause may hold the reply, and must not hold the lock with it: other replicas take it for the steps of their streams.
+	reply(w, http.StatusOK, body)
 }
 
 func (r *Replica) order(w http.ResponseWriter, q *http.Request) {
@@ -291,18 +297,12 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	if o.Operation == "repath" {
-		s := r.running[o.Id]
-		if s == nil {
-			w.WriteHeader(http.StatusNotFound)
-			return
-		}
-		s.path, s.stalled = o.Path, ""
-		w.WriteHeader(http.StatusAccepted)
+		r.repath(w, o.Id, o.Path)
 		return
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if o.Expected != nil && *o.Expected != r.appliedOrders {
 		w.WriteHeader(http.StatusConflict)
 		return
@@ -310,6 +310,7 @@
 	r.appliedOrders++
 	r.busy = true
 	time.AfterFunc(loadTime, func() {
+		r.pause.wait()
 		r.mu.Lock()
 		r.from, r.to, r.busy = o.Source, o.To, false
 		r.mu.Unlock()
@@ -318,6 +319,28 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// repath moves a running stream to another path, unless a new part of it does not hold its layers.
+func (r *Replica) repath(w http.ResponseWriter, id, path string) {
+	r.mu.Lock()
+	s, old := r.running[id], ""
+	if s != nil {
+		old = s.path
+	}
+	r.mu.Unlock()
+	if s == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if blocked, misplaced := r.blockedHop(path, old); misplaced {
+		reply(w, http.StatusConflict, map[string]string{"Address": blocked})
+		return
+	}
+	r.mu.Lock()
+	s.path, s.stalled = path, ""
+	r.mu.Unlock()
+	w.WriteHeader(http.StatusAccepted)
+}
+
 func (r *Replica) recordStart(q *http.Request) {
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
@@ -344,6 +367,7 @@
 func (r *Replica) call(w http.ResponseWriter, q *http.Request) {
 	r.recordStart(q)
 	time.Sleep(callDuration)
+	r.pause.wait()
 	r.crashIfHarmful(q)
 	if q.URL.Query().Get("lose") != "" {
 		// The call has been executed, and the response is lost with the connection.
@@ -368,8 +392,8 @@
 
 // blockedHop returns the address of the first hop of a path that cannot run the request, or "" if there is none.
 // The hop is misplaced if it does not hold its layers or does not continue the path; otherwise it does not
-// respond or does not exist.
-func (r *Replica) blockedHop(path string) (address string, misplaced bool) {
+// respond or does not exist. Hops of the path admitted may have given up their layers since: they wait for what passes through them.
+func (r *Replica) blockedHop(path, admitted string) (address string, misplaced bool) {
 	at := 0
 	for hop := range strings.SplitSeq(path, ",") {
 		where, layers, _ := strings.Cut(hop, "=")
@@ -385,7 +409,7 @@
 		if replica == nil || replica.isUnresponsive() {
 			return where, false
 		}
-		if a, b := replica.HeldLayers(); from < a || to > b {
+		if a, b := replica.HeldLayers(); (from < a || to > b) && !slices.Contains(strings.Split(admitted, ","), hop) {
 			return where, true
 		}
 	}
@@ -398,7 +422,7 @@
 // stream answers with numbered events up to the query's n, after the Last-Event-Id header.
 func (r *Replica) stream(w http.ResponseWriter, q *http.Request) {
 	path, id := q.Header.Get("X-Hop-Count"), q.Header.Get("X-Attempt-Id")
-	if blocked, misplaced := r.blockedHop(path); blocked != "" && misplaced {
+	if blocked, misplaced := r.blockedHop(path, ""); blocked != "" && misplaced {
 		w.Header().Set("At-Server", blocked)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -446,8 +470,9 @@
 func (r *Replica) step(q *http.Request, s *stream) bool {
 	for limit := time.Now().Add(stallTimeout); time.Now().Before(limit); {
 		time.Sleep(eventPeriod)
+		unresponsive := r.isUnresponsive()
 		r.mu.Lock()
-		path, unresponsive := s.path, r.unresponsive
+		path := s.path
 		r.mu.Unlock()
 		if q.Context().Err() != nil {
 			return false
@@ -455,7 +480,7 @@
 		if unresponsive {
 			continue
 		}
-		blocked, _ := r.blockedHop(path)
+		blocked, _ := r.blockedHop(path, path)
 		if blocked == "" {
 			return true
 		}
