flow, proxy: pace, probe and end replacements of a running attempt

A review of the change that keeps running attempts found, each with a failing script or test (flow/testdata/stream/pacing, TestRandomStreams, TestSilentReplacementIsReplaced, TestAbortedAttemptIsNotBroken): a replacement opened while no attempt ran, which then stayed pending for good; one whose own server was silent and that was never left; refused ones repeated with each new view while the first server was down; a move whose outcome was unknown, after which the part that it added was ignored; two moves at a time; parts that stayed suspected after events; attempts that the router had ended counted as broken off by their servers.

Cause: the replacement had no life of its own: no wait after a refusal, no probe, no end when its server goes down.

Nothing is moved or replaced while no attempt runs or a move is under way. An event clears all parts of its path that are not down.

--- a/flow/loss.go
+++ b/flow/loss.go
@@ -29,14 +29,17 @@
 	}
 	if silent > hungTimeout && s.mayRunAgain() && s.serversUsed() < max(s.MaxServers, 1) {
 		s.avoid[s.Path[0].Server] = true
-		return s.openReplacement(now, "no event")
+		return append(s.probeReplacement(now), s.openReplacement(now, "no event")...)
 	}
 	s.probing = true
 	s.probeDelay = time.Duration(float64(s.probeDelay) * probeDelayFactor)
-	return []teaselstream.Cmd{Probe{s.Attempt, s.Path, silent}}
+	return append([]teaselstream.Cmd{Probe{s.Attempt, s.Path, silent}}, s.probeReplacement(now)...)
 }
 
 func (s *Stream) onProbed(now time.Time, m Probed) []teaselstream.Cmd {
+	if s.replacement.is(m.Attempt) {
+		return s.onReplacementProbed(now, m)
+	}
 	if m.Attempt != s.Attempt || !s.probing {
 		return nil
 	}
@@ -47,23 +50,30 @@
 	}
 	if stalled != "" && stalled != s.Path[0].Server {
 		s.avoid[stalled] = true
+		if s.runs() && !slices.Contains(s.Path.Servers(), stalled) {
+			// A move whose outcome is not known has taken effect.
+			return s.openReplacement(now, "part does not answer")
+		}
 	}
 	return s.moveOrReplace(now, "part does not answer")
 }
 
+// runs reports whether an attempt is running and no move of it is under way.
+func (s *Stream) runs() bool { return !s.moving && s.reopenAt.IsZero() && len(s.Path) > 0 }
+
 func (s *Stream) onServersDown(now time.Time, m ServersDown) []teaselstream.Cmd {
 	for _, id := range m.Servers {
 		s.avoid[id] = true
 	}
-	if s.moving || !s.reopenAt.IsZero() || len(s.Path) == 0 {
-		return nil
-	}
-	return s.moveOrReplace(now, "part is down")
+	return append(s.dropLostReplacement(m.Servers), s.moveOrReplace(now, "part is down")...)
 }
 
 // moveOrReplace takes the request off the servers in avoid: by a move if the first server stays, otherwise by a new attempt. Parts that
 // are only leaving are left by a move or not at all.
 func (s *Stream) moveOrReplace(now time.Time, reason string) []teaselstream.Cmd {
+	if !s.runs() {
+		return nil
+	}
 	if s.avoid[s.Path[0].Server] {
 		return s.openReplacement(now, reason)
 	}
@@ -115,6 +125,9 @@
 	}
 	refused := s.Path
 	s.Path = s.previousPath
+	if !s.runs() {
+		return nil
+	}
 	if !errors.Is(m.Err, teaselstream.ErrConflict) {
 		if !s.lostPart() {
 			return nil
@@ -164,7 +177,7 @@
 // MoveOff moves the stream off a server of its path that will soon stop, unless that is the first one. A refused move is repeated only
 // if a pause follows: most streams end in time, and moves that are repeated fill the other servers with prompts to read again.
 func (s *Stream) MoveOff(now time.Time, id teaselstream.ServerID) []teaselstream.Cmd {
-	if s.done || s.moving || s.avoid[id] || s.leaving[id] || !s.opened || len(s.Path) == 0 || s.Path[0].Server == id {
+	if s.done || !s.runs() || s.avoid[id] || s.leaving[id] || !s.opened || s.Path[0].Server == id {
 		return nil
 	}
 	s.leaving[id] = true
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -115,6 +115,8 @@
 		refusedAt map[teaselstream.ServerID]time.Time
 		// replacement is the attempt that is opened beside the running one.
 		replacement replacement
+		// replaceAfter is the earliest time at which the next one may be opened.
+		replaceAfter time.Time
 		// attempts counts the times the request was sent, possiblyRan the attempts that may have run, and repaths the moves of
 		// the current attempt.
 		attempts, possiblyRan, repaths int
@@ -236,6 +238,7 @@
 	s.repaths, s.probing, s.moving, s.opened, s.attemptMayHaveRun, s.attemptDelivered = 0, false, false, false, false, false
 	s.lastActivity, s.reopenAt = now, time.Time{}
 	s.probeDelay = firstEventProbeDelay
+	clear(s.leaving)
 }
 
 // resumeAfter returns the number of the event after which a new attempt goes on, or 0 if the caller's own header already says it.
@@ -247,7 +250,7 @@
 }
 
 func (s *Stream) onOpened(now time.Time, m Opened) []teaselstream.Cmd {
-	if s.replacement.pending() && m.Attempt == s.replacement.attempt {
+	if s.replacement.is(m.Attempt) {
 		return s.onReplacementOpened(now, m)
 	}
 	if m.Attempt != s.Attempt {
@@ -308,6 +311,9 @@
 const notTheRest = "answer is not the rest of the stream"
 
 func (s *Stream) onEvent(now time.Time, m Event) []teaselstream.Cmd {
+	if s.replacement.is(m.Attempt) {
+		return s.onReplacementEvent(now, m)
+	}
 	if m.Attempt != s.Attempt || !s.reopenAt.IsZero() {
 		return nil
 	}
@@ -332,8 +338,12 @@
 	}
 	s.delivered, s.attemptDelivered, s.lastEventAt = true, true, now
 	s.probeDelay = nextEventProbeDelay
-	// The first server works, whatever a probe of it showed.
-	delete(s.avoid, s.Path[0].Server)
+	// The path works, whatever probes of it showed. A server that is down may still have sent what is on its way.
+	for _, p := range s.Path {
+		if !s.Planner.Down(p.Server) {
+			delete(s.avoid, p.Server)
+		}
+	}
 	return append([]teaselstream.Cmd{Deliver{s.Attempt, m.Data}}, s.dropReplacement("the running attempt goes on")...)
 }
 
@@ -348,7 +358,7 @@
 }
 
 func (s *Stream) onClosed(now time.Time, m Closed) []teaselstream.Cmd {
-	if s.replacement.pending() && m.Attempt == s.replacement.attempt {
+	if s.replacement.is(m.Attempt) {
 		return s.onReplacementClosed(m)
 	}
 	if m.Attempt != s.Attempt || !s.reopenAt.IsZero() {
--- a/proxy/running.go
+++ b/proxy/running.go
@@ -22,6 +22,8 @@
 		events   int
 		// reserved holds the servers of the path that count this request as their own.
 		reserved []*fleet.LoadEstimate
+		// ended reports that the router has aborted the attempt or its end was recorded.
+		ended bool
 		// response is nil until the first server has answered.
 		response *savedResponse
 	}
@@ -56,9 +58,12 @@
 		}
 	case flow.Closed:
 		a := s.attempts[m.Attempt]
+		if a == nil || a.ended {
+			return
+		}
 		s.abort(m.Attempt)
 		switch {
-		case a == nil || m.NotSent:
+		case m.NotSent:
 		case m.Complete && a.events < soundEvents:
 			s.reportSound()
 		case !m.Complete:
@@ -102,6 +107,7 @@
 // abort ends an attempt, whose connection closes, and releases what it has reserved.
 func (s *streamRunner) abort(n teaselstream.Attempt) {
 	if a := s.attempts[n]; a != nil {
+		a.ended = true
 		a.cancel()
 		s.reserve(a, nil)
 	}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -123,7 +123,12 @@
 			return s.core.Update(now, a.Opened)
 		}
 		s.recordProgress(m)
-		return s.core.Update(now, m)
+		cmds := s.core.Update(now, m)
+		if moved, ok := m.(flow.Repathed); ok && moved.Err != nil && moved.Attempt == s.core.Attempt {
+			// The servers that refused the move do not have this request.
+			s.reserve(s.current(), s.core.Path)
+		}
+		return cmds
 	case <-s.Disconnected:
 		return s.core.Update(time.Now(), flow.CallerDisconnected{})
 	case <-timer.C:
@@ -141,7 +146,7 @@
 	drain := time.Duration((drainMoveFirst + (drainMoveLast-drainMoveFirst)*s.drainJitter) * float64(s.handler.Planner.DrainTime))
 	var lost []teaselstream.ServerID
 	var cmds []teaselstream.Cmd
-	for _, p := range s.core.Path {
+	for _, p := range s.core.Parts() {
 		m := v.Members[p.Server]
 		switch {
 		case m == nil:
