flow: a second send without a replica does not use up a call's attempts

Callers of idempotent calls were refused after one send: the hedge found no replica, which set the attempts to their limit, and the first replica then refused the call as not run.

TestHedgeWithoutReplica failed before and passes.

--- a/flow/call.go
+++ b/flow/call.go
@@ -102,6 +102,11 @@
 		return c.retryOrEnd(m.Reason)
 	case CallNoReplica:
 		c.running--
+		if c.running > 0 {
+			// Only a second send found no replica; the first one may still be refused and then be sent again.
+			c.attempts--
+			return nil
+		}
 		c.attempts, c.retryAfter = maxCallAttempts, min(m.RetryAfter, maxRetryAfter)
 		return c.retryOrEnd("no replica available")
 	case CallHedgeDue:
--- a/flow/call_test.go
+++ b/flow/call_test.go
@@ -61,3 +61,16 @@
 	t.Fatalf("unknown message %s", f[0])
 	return nil
 }
+// Guards against a hedge that finds no replica and so uses up the attempts of a call that its first replica then refuses as not run.
+func TestHedgeWithoutReplica(t *testing.T) {
+	c := &Call{CallOptions: CallOptions{Idempotent: true, MaxServers: 2, MayRetry: func() bool { return true }}}
+	c.Update(CallStart{})
+	c.Update(CallHedgeDue{})
+	c.Update(CallNoReplica{AttemptNumber: 2})
+	for _, cmd := range c.Update(CallAnswered{AttemptNumber: 1, Status: 503, NotRun: true}) {
+		if _, ok := cmd.(CallSend); ok {
+			return
+		}
+	}
+	t.Error("the call is not sent again after a refusal, although it was sent once")
+}
