flow: deliver a replica's failure answer at the deadline

A call whose first replica had answered with a 5xx status got a 504 of the router if a second send was still under way at the deadline. The answer that is there is delivered now.

TestFailureAnswerAtDeadline failed before and passes.

--- a/flow/call.go
+++ b/flow/call.go
@@ -115,6 +115,9 @@
 		c.done = true
 		return []teaselstream.Cmd{CallRefuse{}}
 	case TimedOut:
+		if c.failedAttempt > 0 {
+			return c.deliver(c.failedAttempt)
+		}
 		return c.refuse(teaselstream.CodeDeadlineExceeded, "time for the answer is up")
 	}
 	return nil
--- a/flow/call_test.go
+++ b/flow/call_test.go
@@ -61,6 +61,7 @@
 	t.Fatalf("unknown message %s", f[0])
 	return nil
 }
+
 // Guards against a hedge that finds no replica and so uses up the attempts of a call that its first replica then refuses as not run.
 func TestHedgeWithoutReplica(t *testing.T) {
 	c := &Call{CallOptions: CallOptions{Idempotent: true, MaxServers: 2, MayRetry: func() bool { return true }}}
@@ -74,3 +75,13 @@
 	}
 	t.Error("the call is not sent again after a refusal, although it was sent once")
 }
+
+// Guards against a replica's own answer that is replaced by a 504 because a second send is still under way at the deadline.
+func TestFailureAnswerAtDeadline(t *testing.T) {
+	c := &Call{CallOptions: CallOptions{Idempotent: true, MaxServers: 2, MayRetry: func() bool { return true }}}
+	c.Update(CallStart{})
+	c.Update(CallAnswered{AttemptNumber: 1, Status: 500})
+	if cmds := c.Update(TimedOut{}); len(cmds) != 1 || cmds[0] != (CallDeliver{1}) {
+		t.Errorf("got %v, want the answer of attempt 1", cmds)
+	}
+}
