proxy: a replica that is chosen for a probe and not sent to can be chosen again

A replica that was put aside stayed last in the order for good: the balancer chose it for a probe, the handler then withheld the call because of its limit or its wish to wait, and nothing cleared the probe.

TestProbeThatIsNotSent failed before and passes.

--- a/proxy/limit.go
+++ b/proxy/limit.go
@@ -6,6 +6,7 @@
 
 	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/fleet"
+	"github.com/teaselstream/teaselstream/pick"
 )
 
 // observeLimit passes on the limit that a server names in an answer to a request sent at the given time, or that it names none.
@@ -28,6 +29,8 @@
 			avoid = maps.Clone(tried)
 		}
 		avoid[m.ID] = true
+		// The balancer may have chosen the replica for a probe, which is not sent.
+		h.Balancer.RecordResult(now, m, pick.Canceled, 0)
 	}
 }
 
