proxy: a length whose name is followed by a space is refused

A replica's head with "Content-Length : 3" was read as one without a length: net/http keeps such a name as it is and does not recognize it. The caller got the bytes up to the end of the connection as a whole success. Such a head now counts as an answer that broke off.

--- a/proxy/head.go
+++ b/proxy/head.go
@@ -7,14 +7,19 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 )
 
 // maxHeadBytes limits the status line and header of a server's response, with the interim responses before it. A server in
 // trouble may send bytes without end, and the smallest VMs have 184 MB of memory.
 const maxHeadBytes = 64 << 10
 
-// errHeadTooLarge reports a response head over maxHeadBytes.
-var errHeadTooLarge = errors.New("answer's header is over the limit")
+var (
+	// errHeadTooLarge reports a response head over maxHeadBytes.
+	errHeadTooLarge = errors.New("answer's header is over the limit")
+	// errUnclearEnd reports a response head from which receivers conclude different ends of the body.
+	errUnclearEnd = errors.New("answer's header leaves the end of its body unclear")
+)
 
 // headLimit limits how many bytes are read from a connection while a response head is parsed.
 type headLimit struct {
@@ -50,8 +55,23 @@
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", err)
 		}
-		if p.StatusCode/100 != 1 {
-			return p, nil
+		if p.StatusCode/100 == 1 {
+			continue
+		}
+		if hasUnclearEnd(p) {
+			return nil, fmt.Errorf("read answer: %w", errUnclearEnd)
+		}
+		return p, nil
+	}
+}
+
+// hasUnclearEnd reports whether a name in the head is followed by a space. net/http does not recognize it, so that a body with such a
+// length would be taken for one that ends with its connection.
+func hasUnclearEnd(p *http.Response) bool {
+	for name := range p.Header {
+		if strings.Contains(name, " ") {
+			return true
 		}
 	}
+	return false
 }
