proxy: a request is read with the limits in force when it arrives

A connection that waited for a request while the configuration changed kept the earlier limits for it. A request whose header or body only the new configuration allows was refused with 431 or 413 on every such connection, up to the idle timeout after the change, and the same holds for a connection that is opened just before. The limits were looked up before the wait; they are now looked up once more when the first byte has arrived.

TestLimitsOfIdleConnection fails before the change (431 on a new and on a kept connection, want 200) and passes after it.

--- a/proxy/cut_test.go
+++ b/proxy/cut_test.go
@@ -41,6 +41,8 @@
 	texts []string
 	reset bool
 	next  atomic.Int64
+	// before is called with the number of each request before it is answered; nil does nothing.
+	before func(n int)
 }
 
 func (s *scriptedReplica) serve(c net.Conn) {
@@ -54,7 +56,11 @@
 		if _, err := io.Copy(io.Discard, q.Body); err != nil {
 			return
 		}
-		n := min(int(s.next.Add(1)), len(s.texts)) - 1
+		number := int(s.next.Add(1))
+		if s.before != nil {
+			s.before(number)
+		}
+		n := min(number, len(s.texts)) - 1
 		text, kept := strings.CutSuffix(s.texts[n], "KEEP")
 		if _, err := io.WriteString(c, text); err != nil {
 			return
--- /dev/null
+++ b/proxy/idle_test.go
@@ -0,0 +1,61 @@
+package proxy
+
+import (
+	"bufio"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+)
+
+// startIdle starts a server with the given limits and returns its address.
+func startIdle(t *testing.T, limits func() teaselstream.EdgeLimits) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &Server{Serve: echo, Log: slog.New(slog.DiscardHandler), Limits: limits}
+	go func() { _ = s.Run(l) }()
+	return l.Addr().String()
+}
+
+// Guards against limits of an earlier configuration that hold for requests on connections that were idle when they changed: a request
+// that the configuration in force allows was refused with 413 or 431 (DENIED, CONFIG).
+func TestLimitsOfIdleConnection(t *testing.T) {
+	var limits atomic.Pointer[teaselstream.EdgeLimits]
+	limits.Store(&teaselstream.EdgeLimits{MaxHeader: 128, MaxBody: 8, IdleTimeout: time.Minute})
+	address := startIdle(t, func() teaselstream.EdgeLimits { return *limits.Load() })
+	for _, first := range []bool{true, false} {
+		limits.Store(&teaselstream.EdgeLimits{MaxHeader: 128, MaxBody: 8, IdleTimeout: time.Minute})
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := bufio.NewReader(c)
+		if !first {
+			if got := wholeAnswer(t, c, r, "/a"); got != "200 GET /a " {
+				t.Fatalf("first answer %q", got)
+			}
+		}
+		// The server reads its limits before it waits.
+		time.Sleep(20 * time.Millisecond)
+		limits.Store(&teaselstream.EdgeLimits{MaxHeader: 1024, MaxBody: 16, IdleTimeout: time.Minute})
+		if _, err := io.WriteString(c, "POST /b HTTP/1.1\r\nHost: h\r\nName: "+strings.Repeat("x", 200)+"\r\nContent-Length: 10\r\n\r\n0123456789"); err != nil {
+			t.Fatal(err)
+		}
+		p, err := http.ReadResponse(r, nil)
+		if err != nil || p.StatusCode != http.StatusOK {
+			t.Errorf("first request on the connection %t: answer %v, %v; want 200", first, p, err)
+		}
+		_ = c.Close()
+	}
+}
+
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -181,6 +181,8 @@
 	}
 	c.busy.Store(true)
 	arrived := time.Now()
+	// The limits may have changed while the connection was idle.
+	l = c.server.limits()
 	if !c.expire(l.HeaderTimeout) {
 		return nil, false
 	}
