proxy: 100 Continue is sent with a write deadline of its own

A caller that waits for 100 Continue on a connection whose last answer is over 5 s old got 408 at once and lost its connection: the write deadline of that answer was still set and had passed. It is now set anew before 100 Continue is written.

TestContinueOnIdleConnection fails before the change (408, want 100) and passes after it.

--- a/proxy/idle_test.go
+++ b/proxy/idle_test.go
@@ -59,3 +59,35 @@
 	}
 }
 
+// Guards against the write deadline of an earlier answer that ends a request for which the caller waits for 100 Continue: it was refused
+// with 408 on a connection that was idle for some seconds.
+func TestContinueOnIdleConnection(t *testing.T) {
+	t.Parallel()
+	c, err := net.Dial("tcp", startIdle(t, func() teaselstream.EdgeLimits { return teaselstream.EdgeLimits{} }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	if got := wholeAnswer(t, c, r, "/a"); got != "200 GET /a " {
+		t.Fatalf("first answer %q", got)
+	}
+	time.Sleep(writeTimeout + 200*time.Millisecond)
+	if err := c.SetDeadline(time.Now().Add(2 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(c, "POST /b HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	p, err := http.ReadResponse(r, nil)
+	if err != nil || p.StatusCode != http.StatusContinue {
+		t.Fatalf("answer %v, %v; want 100", p, err)
+	}
+	if _, err := io.WriteString(c, "abc"); err != nil {
+		t.Fatal(err)
+	}
+	p, err = http.ReadResponse(r, nil)
+	if err != nil || p.StatusCode != http.StatusOK {
+		t.Fatalf("answer %v, %v; want 200", p, err)
+	}
+}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -226,6 +226,10 @@
 	}
 	if strings.EqualFold(q.Header.Get("Expect"), "100-continue") {
 		q.Header.Del("Expect")
+		// The deadline of the connection's last answer may have passed.
+		if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return nil, fmt.Errorf("send 100 Continue: %w", err)
+		}
 		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return nil, fmt.Errorf("send 100 Continue: %w", err)
 		}
