proxy: CloseIdle leaves a request that has been read

CloseIdle, in a planned stop, closed every connection that was not marked busy, and a connection is marked busy only after its first byte has been read. A request that was read between the two was dropped with its connection, without an answer (LOST), and one that had arrived but was not read yet was answered with a reset. CloseIdle now ends the wait for the next request instead of the connection, and a reader whose wait ends first reads what has arrived. The mark and the end of the wait exclude each other, so that the end cannot reach a request that is being read, which would be a 408.

TestCloseIdleAfterRead holds the reader back between the two; it fails before the change (unexpected EOF, want 200) and passes after it, 15 of 15 with -race.

--- a/proxy/idle_test.go
+++ b/proxy/idle_test.go
@@ -91,3 +91,55 @@
 		t.Fatalf("answer %v, %v; want 200", p, err)
 	}
 }
+
+// blockingConn makes the first read wait until it is released, after the bytes have arrived, as a reader that is not scheduled does.
+type blockingConn struct {
+	net.Conn
+	read    chan struct{}
+	release chan struct{}
+}
+
+func (c *blockingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	select {
+	case c.read <- struct{}{}:
+		<-c.release
+	default:
+	}
+	return n, err
+}
+
+// Guards against CloseIdle that closes a connection from which a whole request has been read just before (LOST).
+func TestCloseIdleAfterRead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	server := &Server{Serve: echo, Log: slog.New(slog.DiscardHandler), Limits: func() teaselstream.EdgeLimits { return teaselstream.EdgeLimits{} }}
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	n, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &blockingConn{Conn: n, read: make(chan struct{}), release: make(chan struct{})}
+	go server.serve(b)
+	if _, err := io.WriteString(c, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-b.read
+	server.Drain()
+	server.CloseIdle()
+	close(b.release)
+	if err := c.SetDeadline(time.Now().Add(2 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	p, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || p.StatusCode != http.StatusOK {
+		t.Errorf("answer %v, %v; want 200", p, err)
+	}
+}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/sock"
 )
 
 const (
@@ -56,8 +57,10 @@
 		limited *io.LimitedReader
 		reader  *bufio.Reader
 		writer  *bufio.Writer
-		// busy is true while a request is read or served.
-		busy atomic.Bool
+
+		mu sync.Mutex
+		// busy is true while a request is read or served, and closing after CloseIdle found the connection idle.
+		busy, closing bool
 	}
 
 	// Exchange is one request of a caller and its response.
@@ -103,15 +106,25 @@
 // Drain adds Connection: close to all further responses, so that callers reconnect elsewhere.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// CloseIdle closes connections that have no request in progress.
+// CloseIdle closes connections that have no request in progress. A request that has begun to arrive is still read and served.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if !c.busy.Load() {
-			c.discard()
-		}
+		c.closeIdle()
+	}
+}
+
+// closeIdle ends the wait for the next request. It does not close the connection, since its reader may have read a request already.
+func (c *callerConn) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy {
+		return
 	}
+	c.closing = true
+	// An error means that the connection is closed.
+	_ = c.SetReadDeadline(time.Unix(1, 0))
 }
 
 // discard closes the connection and ignores the error, since the connection is not used again.
@@ -140,7 +153,7 @@
 		s.active.Add(1)
 		c.serveExchange(x)
 		s.active.Add(-1)
-		c.busy.Store(false)
+		c.setBusy(false)
 		// A response that started before Drain lacks Connection: close, so the connection is closed here.
 		if x.close || !x.complete || s.draining.Load() {
 			return
@@ -173,13 +186,9 @@
 		wait = max(l.HeaderTimeout, l.IdleTimeout)
 	}
 	c.limited.N = math.MaxInt64
-	if !c.expire(wait) {
-		return nil, false
-	}
-	if _, err := c.reader.Peek(1); err != nil {
+	if !c.await(wait) {
 		return nil, false
 	}
-	c.busy.Store(true)
 	arrived := time.Now()
 	// The limits may have changed while the connection was idle.
 	l = c.server.limits()
@@ -212,6 +221,32 @@
 	return x, true
 }
 
+// await waits for the first byte of a request and returns false if the connection must close. A byte that has arrived when the wait ends
+// is read: its caller would get no answer to a request that it has sent in time.
+func (c *callerConn) await(wait time.Duration) bool {
+	c.mu.Lock()
+	ok := c.closing || c.expire(wait)
+	c.mu.Unlock()
+	if !ok {
+		return false
+	}
+	_, err := c.reader.Peek(1)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !sock.Idle(c.Conn) && c.expire(defaultHeaderTimeout) {
+		_, err = c.reader.Peek(1)
+	}
+	if err != nil {
+		return false
+	}
+	c.setBusy(true)
+	return true
+}
+
+func (c *callerConn) setBusy(busy bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = busy
+}
+
 // expire makes reads fail once d has passed from now; it returns false if the connection is already closed.
 func (c *callerConn) expire(d time.Duration) bool { return c.SetReadDeadline(time.Now().Add(d)) == nil }
 
