proxy: a request that is being read counts as active

A stopping process exits as soon as no request is active. A request counted only once all of it had been read, so that a process could end while a caller's body was arriving, or between the last byte and the count; the connection then ended without an answer (LOST). It now counts from its first byte on, as the mark busy does.

TestRequestBeingReadIsActive fails before the change (not active within 2 s) and passes after it.

--- a/proxy/idle_test.go
+++ b/proxy/idle_test.go
@@ -143,3 +143,21 @@
 		t.Errorf("answer %v, %v; want 200", p, err)
 	}
 }
+
+// Guards against a process that takes itself for idle, and exits, while it reads a request (LOST).
+func TestRequestBeingReadIsActive(t *testing.T) {
+	s, address := startServer(t, echo)
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := io.WriteString(c, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nab"); err != nil {
+		t.Fatal(err)
+	}
+	for limit := time.Now().Add(2 * time.Second); s.ActiveRequests() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatal("a request that is being read does not count as active")
+		}
+	}
+}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// ActiveRequests returns the number of requests in progress.
+// ActiveRequests returns the number of requests in progress, those that are being read included.
 func (s *Server) ActiveRequests() int { return int(s.active.Load()) }
 
 // Drain adds Connection: close to all further responses, so that callers reconnect elsewhere.
@@ -140,6 +140,7 @@
 	s.conns[c] = true
 	s.mu.Unlock()
 	defer func() {
+		c.setBusy(false)
 		c.discard()
 		s.mu.Lock()
 		delete(s.conns, c)
@@ -150,9 +151,7 @@
 		if !ok {
 			return
 		}
-		s.active.Add(1)
 		c.serveExchange(x)
-		s.active.Add(-1)
 		c.setBusy(false)
 		// A response that started before Drain lacks Connection: close, so the connection is closed here.
 		if x.close || !x.complete || s.draining.Load() {
@@ -241,9 +240,16 @@
 	return true
 }
 
+// setBusy marks the connection, and counts its request among those in progress.
 func (c *callerConn) setBusy(busy bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	switch {
+	case busy && !c.busy:
+		c.server.active.Add(1)
+	case !busy && c.busy:
+		c.server.active.Add(-1)
+	}
 	c.busy = busy
 }
 
