proxy: a drain answers the request that has arrived behind another

An answer that began before a drain carries no Connection: close, and the connection was closed at its end. A next request that the caller had already sent on it, and that the process may have read while it watched for the caller's close, was dropped without an answer (LOST). It is now served, with Connection: close in its answer; a request that crosses the close is not affected.

TestDrainAnswersNextRequest fails before the change (one answer, want two) and passes after it, 5 of 5 with -race.

--- a/proxy/idle_test.go
+++ b/proxy/idle_test.go
@@ -161,3 +161,47 @@
 		}
 	}
 }
+
+// Guards against a request that has arrived behind another one and is dropped because that one's answer ends during a drain: its caller
+// was not told to close (LOST).
+func TestDrainAnswersNextRequest(t *testing.T) {
+	begun, finish := make(chan bool), make(chan bool)
+	s, address := startServer(t, func(x *Exchange) {
+		if x.Target != "/first" {
+			echo(x)
+			return
+		}
+		if err := x.StartResponse(http.StatusOK, http.Header{}); err != nil {
+			t.Error(err)
+		}
+		begun <- true
+		<-finish
+		if err := x.EndResponse(); err != nil {
+			t.Error(err)
+		}
+	})
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := io.WriteString(c, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-begun
+	if _, err := io.WriteString(c, "GET /next HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	// The request has to arrive before the answer ends.
+	time.Sleep(20 * time.Millisecond)
+	s.Drain()
+	s.CloseIdle()
+	finish <- true
+	if err := c.SetReadDeadline(time.Now().Add(2 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	b, err := io.ReadAll(c)
+	if got := responsesOf(t, string(b)); err != nil || got != "200 |200 GET /next " {
+		t.Errorf("read %q, %v; want both answers and the end of the connection", got, err)
+	}
+}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -153,8 +153,9 @@
 		}
 		c.serveExchange(x)
 		c.setBusy(false)
-		// A response that started before Drain lacks Connection: close, so the connection is closed here.
-		if x.close || !x.complete || s.draining.Load() {
+		// A response that started before Drain lacks Connection: close, so the connection is closed here. A request that has already
+		// arrived behind it is still served.
+		if x.close || !x.complete || s.draining.Load() && c.reader.Buffered() == 0 && sock.Idle(n) {
 			return
 		}
 	}
