--- a/proxy/cut_test.go
+++ b/proxy/cut_test.go
@@ -250,7 +250,7 @@
 			t.Run(fmt.Sprintf("%d/reset=%t", n, reset), func(t *testing.T) {
 				t.Parallel()
 				v := handlerView(startReplica(t, &scriptedReplica{reset: reset, texts: []string{partOfStream, restOfStream[:n]}}))
-				got := askOnce(t, v, "/resumed")
+				got := askOnce(t, func() *fleet.View { return v }, "/resumed")
 				if looksComplete(got) {
 					t.Errorf("after %q the caller has %q", restOfStream[:n], got)
 				}
@@ -258,14 +258,15 @@
 		}
 	}
 	v := handlerView(startReplica(t, &scriptedReplica{texts: []string{partOfStream, restOfStream}}))
-	if got := askOnce(t, v, "/resumed"); got != want {
+	if got := askOnce(t, func() *fleet.View { return v }, "/resumed"); got != want {
 		t.Errorf("the resumed stream is %q, want %q", got, want)
 	}
 }
 
-func askOnce(t *testing.T, v *fleet.View, path string) string {
+// askOnce sends one request to a handler with the given source of views.
+func askOnce(t *testing.T, view func() *fleet.View, path string) string {
 	t.Helper()
-	_, gate := startServer(t, newHandler(func() *fleet.View { return v }).Serve)
+	_, gate := startServer(t, newHandler(view).Serve)
 	c, err := net.Dial("tcp", gate)
 	if err != nil {
 		t.Fatal(err)
@@ -311,7 +312,7 @@
 		t.Run(x.name, func(t *testing.T) {
 			t.Parallel()
 			v := handlerView(startReplica(t, &scriptedReplica{reset: x.reset, texts: []string{x.text}}))
-			got := askOnce(t, v, x.path)
+			got := askOnce(t, func() *fleet.View { return v }, x.path)
 			if looksComplete(got) && got != x.want || x.want != "" && got != x.want {
 				t.Errorf("the caller has %q, want %q", got, x.want)
 			}
