proxy: a whole stream without events is passed on

A stream that ended before its first event was ended without a head, which is an error, and the caller's connection was closed without an answer (LOST). Its status and header are now passed on with an empty body.

--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -248,6 +248,8 @@
 			s.logUncovered()
 		}
 		s.refuse(statusOf(c.Refusal), c.Refusal)
+	case c.Complete && !s.ResponseStarted():
+		s.passThrough(flow.PassThrough{Attempt: s.core.Attempt})
 	case c.Complete:
 		if err := s.EndResponse(); err != nil {
 			s.Abort()
