chain, proxy: a request keeps the engine of its service

A stream that may be resumed and whose service, or the service's engine, left the configuration found no path any more, and its caller was cut off after 1.6 s (LOST). The request keeps route, key and deadline of the view in which it began; it now also keeps the engine, for use while the newest view has none for the service.

--- a/chain/chain.go
+++ b/chain/chain.go
@@ -37,7 +37,9 @@
 type (
 	// PathRequest describes a request for which a path is planned.
 	PathRequest struct {
-		Service      teaselstream.ServiceID
+		Service teaselstream.ServiceID
+		// Engine describes the service if the configuration no longer does; requests end on the service on which they began.
+		Engine       *teaselstream.EngineSpec
 		PromptTokens int
 		AnswerTokens int
 		// Avoid holds servers that must not be used.
@@ -82,12 +84,24 @@
 	}
 )
 
+// engineIn returns the engine of the request's service in a view, or the one that the request holds.
+func (a PathRequest) engineIn(v *fleet.View) *teaselstream.EngineSpec {
+	switch {
+	case v == nil:
+		return nil
+	case v.Routing == nil || v.Routing.Pools[a.Service] == nil || v.Routing.Pools[a.Service].Engine == nil:
+		return a.Engine
+	}
+	return v.Routing.Pools[a.Service].Engine
+}
+
 // Plan returns the cheapest path and its estimated time per step; ok is false if no path covers all layers.
 func (p *Planner) Plan(now time.Time, v *fleet.View, a PathRequest) (path teaselstream.Path, step time.Duration, ok bool) {
-	if v == nil || v.Routing == nil || v.Routing.Pools[a.Service] == nil || v.Routing.Pools[a.Service].Engine == nil {
+	engine := a.engineIn(v)
+	if engine == nil {
 		return nil, 0, false
 	}
-	s := &search{planner: p, now: now, view: v, engine: v.Routing.Pools[a.Service].Engine, request: a}
+	s := &search{planner: p, now: now, view: v, engine: engine, request: a}
 	members := s.usableMembers()
 	s.indexStates(members)
 	s.meanAnswer = s.meanAnswerTime(members)
@@ -104,10 +118,11 @@
 // HasRoom reports whether the servers of a path probably take a request now: none of them has refused work lately, and each
 // has slots and cache memory left by the same estimates as in Plan.
 func (p *Planner) HasRoom(now time.Time, v *fleet.View, a PathRequest, path teaselstream.Path) bool {
-	if v == nil || v.Routing == nil || v.Routing.Pools[a.Service] == nil || v.Routing.Pools[a.Service].Engine == nil {
+	engine := a.engineIn(v)
+	if engine == nil {
 		return false
 	}
-	s := &search{planner: p, now: now, view: v, engine: v.Routing.Pools[a.Service].Engine, request: a}
+	s := &search{planner: p, now: now, view: v, engine: engine, request: a}
 	for _, part := range path {
 		m := v.Members[part.Server]
 		if m == nil || m.State != fleet.Serving || now.Before(m.PausedUntil) || s.lacksCacheRoom(m) || s.load(m) > 1 {
@@ -142,10 +157,11 @@
 // Uncovered returns the ranges of layers that no usable server holds, for the log of a request without a path. If there are
 // none, cut links between failure domains, the required First server or MaxParts rule out every path.
 func (p *Planner) Uncovered(now time.Time, v *fleet.View, a PathRequest) []teaselstream.LayerRange {
-	if v == nil || v.Routing == nil || v.Routing.Pools[a.Service] == nil || v.Routing.Pools[a.Service].Engine == nil {
+	engine := a.engineIn(v)
+	if engine == nil {
 		return nil
 	}
-	s := &search{planner: p, now: now, view: v, engine: v.Routing.Pools[a.Service].Engine, request: a}
+	s := &search{planner: p, now: now, view: v, engine: engine, request: a}
 	held := make([]bool, s.engine.Layers)
 	for _, m := range s.usableMembers() {
 		for l := max(m.Holds.From, 0); l < m.Holds.To; l++ {
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -63,7 +63,7 @@
 	}
 	s.core.Options = flow.Options{
 		Planner: &streamPlanner{r, chain.PathRequest{
-			Service: r.pool.Service, PromptTokens: r.head.PromptTokens, AnswerTokens: expectedTokens,
+			Service: r.pool.Service, Engine: r.pool.Engine, PromptTokens: r.head.PromptTokens, AnswerTokens: expectedTokens,
 		}},
 		MayRetry:  r.mayRetry,
 		MayRun:    r.mayRun,
@@ -270,7 +270,7 @@
 func (s *streamRunner) logUncovered() {
 	now, v := time.Now(), s.handler.View()
 	var uncovered, cut []string
-	for _, r := range s.handler.Planner.Uncovered(now, v, chain.PathRequest{Service: s.pool.Service}) {
+	for _, r := range s.handler.Planner.Uncovered(now, v, chain.PathRequest{Service: s.pool.Service, Engine: s.pool.Engine}) {
 		uncovered = append(uncovered, r.String())
 	}
 	for link, until := range v.CutLinks {
