--- a/trace/cause.go
+++ b/trace/cause.go
@@ -81,6 +81,9 @@
 		if servers := refusingServers(lines); servers != "" {
 			text += "; other servers refused it: " + servers
 		}
+		if reason := x.text("reason"); reason != "" {
+			text += "; given up since: " + reason
+		}
 		return text
 	case "PassedOn":
 		return fmt.Sprintf("a server's own answer with status %.0f was passed on", x.number("status"))
