gate: wait for callers' connections before the exit of a planned stop

Callers saw: a request whose header arrived while the VM closed its listener was passed on and cut, also one that must not be repeated.

Cause: the stop counted requests that had been read, and exited 0.3 s after the listener closed.

Change: the stop waits until all callers' connections are closed. An accepted connection without a request stays open for 200 ms. The accept loop has ended before connections are counted. The stop sequence of gate has its own file. TestCloseIdleAfterRead makes its connection older than 200 ms, so that CloseIdle still acts on it.

TestCloseIdleKeepsFreshConnections fails without the 200 ms.

--- a/cmd/gate/serve.go
+++ b/cmd/gate/serve.go
@@ -17,7 +17,6 @@
 	"github.com/teaselstream/teaselstream/admit"
 	"github.com/teaselstream/teaselstream/chain"
 	"github.com/teaselstream/teaselstream/config"
-	"github.com/teaselstream/teaselstream/drain"
 	"github.com/teaselstream/teaselstream/fleet"
 	"github.com/teaselstream/teaselstream/meter"
 	"github.com/teaselstream/teaselstream/pick"
@@ -28,12 +27,6 @@
 )
 
 const (
-	// balancerDelay covers two failed readiness checks of the load balancer, one per second, and the connections opened meanwhile.
-	balancerDelay = 2500 * time.Millisecond
-	// exitMargin is the time left between aborting the last requests and the platform's SIGKILL.
-	exitMargin = 300 * time.Millisecond
-	// stopTick is the period at which the stop sequence checks its progress.
-	stopTick = 50 * time.Millisecond
 	// idleCheckPeriod is the period of closing expired idle connections to servers.
 	idleCheckPeriod = time.Second
 	// budgetFraction is the fraction of the retry budget that is used; the rest covers VMs that another VM does not know yet,
@@ -106,7 +99,7 @@
 	}
 	log.Info("Stopping", "active", p.server.ActiveRequests())
 	unregister()
-	p.stop(callers)
+	p.stop(callers, failed)
 	return nil
 }
 
@@ -252,34 +245,3 @@
 		}
 	}
 }
-
-// stop drains the VM: it fails readiness, waits for the load balancer, closes the listener and waits for requests.
-func (p *process) stop(callers net.Listener) {
-	b := p.settings.Load().Bounds
-	d := drain.New(drain.Config{
-		VM: p.settings.Load().VM.Name, Delay: min(balancerDelay, b.GraceTime/2), Timeout: b.GraceTime - exitMargin,
-	})
-	cmds := d.Update(time.Now(), drain.Stop{})
-	t := time.NewTicker(stopTick)
-	defer t.Stop()
-	for {
-		for _, c := range cmds {
-			switch c.(type) {
-			case drain.FailReadiness:
-				p.stopping.Store(true)
-				p.server.Drain()
-			case drain.CloseListeners:
-				p.log.Info("ListenerClosed", "active", p.server.ActiveRequests())
-				if err := callers.Close(); err != nil {
-					p.log.Warn("CloseFailed", "error", err)
-				}
-				p.server.CloseIdle()
-			case drain.Exit:
-				return
-			}
-		}
-		now := <-t.C
-		cmds = d.Update(now, teaselstream.Tick{})
-		cmds = append(cmds, d.Update(now, drain.InFlight{Calls: p.server.ActiveRequests()})...)
-	}
-}
--- a/cmd/stand/plat/config.go
+++ b/cmd/stand/plat/config.go
@@ -1,7 +1,7 @@
 package plat
 
 // Config returns a configuration as the operator writes it: a route for resumable streams of the model service, routes
-// for non-idempotent and idempotent calls of the plain service, and the API keys of one team.
+// for non-idempotent and idempotent calls of the plain service, two more for calls that may take 20 s, and the API keys of one team.
 func (f *Fleet) Config(version int, keys ...string) map[string]any {
 	return map[string]any{
 		"Version": version,
@@ -9,6 +9,8 @@
 			{"Name": "draft", "Host": "test.example", "Prefix": "/draft/", "RouteKind": "streaming", "TimeoutMs": 8000, "FullValueMs": 500, "Service": f.ModelService, "MaxAttempts": 2, "Resumable": true, "GapTargetMs": 200},
 			{"Name": "order", "Host": "test.example", "Prefix": "/order/", "RouteKind": "non_idempotent", "TimeoutMs": 2000, "FullValueMs": 100, "Service": f.PlainService, "MaxAttempts": 1},
 			{"Name": "look", "Host": "test.example", "Prefix": "/look/", "RouteKind": "idempotent", "TimeoutMs": 2000, "FullValueMs": 100, "Service": f.PlainService, "MaxAttempts": 2},
+			{"Name": "batch", "Host": "test.example", "Prefix": "/batch/", "RouteKind": "non_idempotent", "TimeoutMs": 20000, "FullValueMs": 1000, "Service": f.PlainService, "MaxAttempts": 1},
+			{"Name": "survey", "Host": "test.example", "Prefix": "/survey/", "RouteKind": "idempotent", "TimeoutMs": 20000, "FullValueMs": 1000, "Service": f.PlainService, "MaxAttempts": 2},
 		},
 		"Services": []map[string]any{
 			{"Name": f.ModelService, "HealthPath": "/healthz", "Engine": map[string]any{
--- a/cmd/stand/plat/replica.go
+++ b/cmd/stand/plat/replica.go
@@ -20,7 +20,7 @@
 	stallTimeout = 3 * time.Second
 	// loadTime is the time that a replica takes to load a range of layers.
 	loadTime = 100 * time.Millisecond
-	// callDuration is the time that a call of the plain service takes.
+	// callDuration is the time that a call of the plain service takes, besides the milliseconds that its query names.
 	callDuration = 5 * time.Millisecond
 )
 
@@ -366,7 +366,11 @@
 
 func (r *Replica) call(w http.ResponseWriter, q *http.Request) {
 	r.recordStart(q)
-	time.Sleep(callDuration)
+	select {
+	case <-time.After(callDuration + time.Duration(parseUint(q.URL.Query().Get("ms")))*time.Millisecond):
+	case <-q.Context().Done():
+		return
+	}
 	r.pause.wait()
 	r.crashIfHarmful(q)
 	if q.URL.Query().Get("lose") != "" {
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -57,6 +57,8 @@
 		limited *io.LimitedReader
 		reader  *bufio.Reader
 		writer  *bufio.Writer
+		// opened is when the connection was accepted.
+		opened time.Time
 
 		mu sync.Mutex
 		// busy is true while a request is read or served, and closing after CloseIdle found the connection idle.
@@ -96,7 +98,8 @@
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
-		go s.serve(c)
+		// The connection counts as open before the listener can be closed.
+		go s.serve(s.register(c))
 	}
 }
 
@@ -106,15 +109,6 @@
 // Drain adds Connection: close to all further responses, so that callers reconnect elsewhere.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// CloseIdle closes connections that have no request in progress. A request that has begun to arrive is still read and served.
-func (s *Server) CloseIdle() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		c.closeIdle()
-	}
-}
-
 // closeIdle ends the wait for the next request. It does not close the connection, since its reader may have read a request already.
 func (c *callerConn) closeIdle() {
 	c.mu.Lock()
@@ -130,15 +124,23 @@
 // discard closes the connection and ignores the error, since the connection is not used again.
 func (c *callerConn) discard() { _ = c.Close() }
 
-func (s *Server) serve(n net.Conn) {
+// register adds a connection to those that are open.
+func (s *Server) register(n net.Conn) *callerConn {
 	limited := &io.LimitedReader{R: n, N: math.MaxInt64}
-	c := &callerConn{Conn: n, server: s, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), writer: bufio.NewWriterSize(n, readBufferBytes)}
+	c := &callerConn{
+		Conn: n, server: s, limited: limited, opened: time.Now(),
+		reader: bufio.NewReaderSize(limited, readBufferBytes), writer: bufio.NewWriterSize(n, readBufferBytes),
+	}
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.conns == nil {
 		s.conns = make(map[*callerConn]bool)
 	}
 	s.conns[c] = true
-	s.mu.Unlock()
+	return c
+}
+
+func (s *Server) serve(c *callerConn) {
 	defer func() {
 		c.setBusy(false)
 		c.discard()
@@ -155,7 +157,7 @@
 		c.setBusy(false)
 		// A response that started before Drain lacks Connection: close, so the connection is closed here. A request that has already
 		// arrived behind it is still served.
-		if x.close || !x.complete || s.draining.Load() && c.reader.Buffered() == 0 && sock.Idle(n) {
+		if x.close || !x.complete || s.draining.Load() && c.reader.Buffered() == 0 && sock.Idle(c.Conn) {
 			return
 		}
 	}
