gate: refuse what outlasts a planned stop, and answer before the exit

Callers saw: in a planned stop, calls with a long timeout were taken, passed on and cut without an answer 0.1 s before SIGKILL, also those that must not be repeated. Most had come before the listener closed, 2.5 s after SIGTERM, but a request whose body was still being read was taken until the end.

Cause: a request's deadline did not know of the exit, and every request that had been read was passed on.

The rest get 503 with a Retry-After of 50 ms and Connection: close before anything is sent. 350 ms before SIGKILL all requests whose answer has not begun get a final one: 503 if they have not run, 504 otherwise. A request that is still being read then gets 503. Streams that have begun go on until the exit, since only their callers can continue them elsewhere. The listener closes as late as before.

TestUnbegunStreamOfPlannedStop fails without the case in proxy/stream.go (2.4 s after the exit). TestTakes, TestEndRequests and TestRequestUnreadAtEnd fail when their decision is taken out.

--- a/cmd/gate/stop.go
+++ b/cmd/gate/stop.go
@@ -13,17 +13,23 @@
 	balancerDelay = 2500 * time.Millisecond
 	// exitMargin is the time left between aborting the last requests and the platform's SIGKILL.
 	exitMargin = 300 * time.Millisecond
+	// answerTime is the time before that in which requests that would be cut get a final answer: one tick, so that it comes first. The
+	// shutdown waits 200 ms longer before the exit, in which the answers reach their callers.
+	answerTime = stopTick
 	// stopTick is the period at which the stop sequence checks its progress.
 	stopTick = 50 * time.Millisecond
 )
 
-// stop drains the VM: it fails readiness, waits for the load balancer, closes the listener and waits for requests. The result of the accept loop is sent to accepted.
+// stop drains the VM: it fails readiness, waits for the load balancer, closes the listener and waits for requests. Those that last too
+// long get a final answer, except for answers that have begun, which are cut by the exit. The result of the accept loop is sent to accepted.
 func (p *process) stop(callers net.Listener, accepted <-chan error) {
 	b := p.settings.Load().Bounds
 	d := drain.New(drain.Config{
-		VM: p.settings.Load().VM.Name, Delay: min(balancerDelay, b.GraceTime/2), Timeout: b.GraceTime - exitMargin,
+		VM: p.settings.Load().VM.Name, Delay: min(balancerDelay, b.GraceTime/2), Timeout: b.GraceTime - exitMargin, AnswerTime: answerTime,
 	})
 	cmds := d.Update(time.Now(), drain.Stop{})
+	p.handler.Stop(d.LastAnswer())
+	p.server.EndReading(d.LastAnswer())
 	t := time.NewTicker(stopTick)
 	defer t.Stop()
 	closed := false
@@ -36,7 +42,13 @@
 			case drain.CloseListeners:
 				p.closeListener(callers, accepted)
 				closed = true
+			case drain.EndRequests:
+				p.log.Info("RequestsEnded", "active", p.server.ActiveRequests())
+				p.handler.EndRequests()
 			case drain.Exit:
+				if n := p.server.ActiveRequests(); n > 0 {
+					p.log.Warn("RequestsCut", "active", n)
+				}
 				return
 			}
 		}
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -31,6 +31,9 @@
 	// CloseListeners stops accepting new requests.
 	CloseListeners struct{}
 
+	// EndRequests asks to give a final answer to all requests that can still get one.
+	EndRequests struct{}
+
 	// SettleOrders asks to record the outcome of every open order.
 	SettleOrders struct{}
 
@@ -46,9 +49,11 @@
 		// Delay is the time after failed readiness during which load balancers may still send new requests.
 		Delay time.Duration
 		// Timeout bounds the wait for work in flight, from Stop on; 0 means no bound.
-		Timeout  time.Duration
-		Recorder *invar.Recorder
-		Faults   invar.Faults
+		Timeout time.Duration
+		// AnswerTime is the time before Timeout at which EndRequests is returned; 0 means that it is not.
+		AnswerTime time.Duration
+		Recorder   *invar.Recorder
+		Faults     invar.Faults
 	}
 
 	// Drain is the state machine of a graceful shutdown.
@@ -57,6 +62,8 @@
 		step      step
 		stepSince time.Time
 		stopBegan time.Time
+		// requestsEnded is set once EndRequests was returned.
+		requestsEnded bool
 		// inFlight is the latest count, taken at countedAt.
 		inFlight  InFlight
 		countedAt time.Time
@@ -99,7 +106,7 @@
 		d.inFlight, d.countedAt = x, now
 		return d.advance(now)
 	case teaselstream.Tick:
-		out := d.advance(now)
+		out := append(d.endRequests(now), d.advance(now)...)
 		if d.step == finishingWork || d.step == finishingOrders {
 			out = append(out, CountInFlight{})
 		}
@@ -108,6 +115,23 @@
 	return nil
 }
 
+// LastAnswer returns the time of EndRequests in a shutdown that lasts until its timeout; it is zero before Stop.
+func (d *Drain) LastAnswer() time.Time {
+	if d.step == running {
+		return time.Time{}
+	}
+	return d.stopBegan.Add(d.config.Timeout - d.config.AnswerTime)
+}
+
+// endRequests returns EndRequests once it is due.
+func (d *Drain) endRequests(now time.Time) []teaselstream.Cmd {
+	if d.config.AnswerTime <= 0 || d.step == running || d.requestsEnded || now.Before(d.LastAnswer()) {
+		return nil
+	}
+	d.requestsEnded = true
+	return []teaselstream.Cmd{EndRequests{}}
+}
+
 func (d *Drain) enter(now time.Time, s step) { d.step, d.stepSince = s, now }
 
 // advance moves to the next step if the current one is complete, or ends its wait for work after the timeout.
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -76,6 +76,8 @@
 			cmds = c.core.Update(flow.CallerDisconnected{})
 		case <-deadline.C:
 			cmds = c.core.Update(flow.TimedOut{})
+		case <-r.stopEnd():
+			cmds = c.core.Update(flow.TimedOut{})
 		}
 	}
 }
@@ -197,6 +199,7 @@
 	if err := c.Respond(s.upstreamResponse.status, s.upstreamResponse.header, s.body); err != nil {
 		c.log("AnswerNotDelivered", slog.LevelInfo, "error", err.Error())
 	}
+	c.recordDuration()
 	c.recordOutcome("", teaselstream.Ran)
 	c.log("RequestEnded", slog.LevelInfo, "status", s.upstreamResponse.status, "sends", c.sends, "server", string(s.member.ID), "serverMs", s.elapsed.Milliseconds())
 }
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -48,6 +48,8 @@
 		prober          prober
 		endings         endings
 		streamDurations streamDurations
+		durations       routeDurations
+		stopping        stopState
 	}
 
 	// request is the state of one request in the handler.
@@ -80,6 +82,10 @@
 		r.refuse(status, refusal)
 		return
 	}
+	if refusal := r.checkStop(); refusal != nil {
+		r.refuse(http.StatusServiceUnavailable, refusal)
+		return
+	}
 	h.Budgets.Request(time.Now(), r.pool.Service)
 	r.traits = r.crashTraits()
 	if r.pool.Engine != nil {
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -49,6 +49,8 @@
 		conns    map[*callerConn]bool
 		draining atomic.Bool
 		active   atomic.Int64
+		// readEnd is the time at which reading requests ends, in nanoseconds since 1970; 0 means never.
+		readEnd atomic.Int64
 	}
 
 	callerConn struct {
@@ -256,8 +258,10 @@
 	c.busy = busy
 }
 
-// expire makes reads fail once d has passed from now; it returns false if the connection is already closed.
-func (c *callerConn) expire(d time.Duration) bool { return c.SetReadDeadline(time.Now().Add(d)) == nil }
+// expire makes reads fail once d has passed from now, or reading ends; it returns false if the connection is already closed.
+func (c *callerConn) expire(d time.Duration) bool {
+	return c.SetReadDeadline(c.server.capRead(time.Now().Add(d))) == nil
+}
 
 var errBodyTooLarge = errors.New("request body exceeds the limit")
 
@@ -304,7 +308,7 @@
 func (c *callerConn) refuseHeaderError(err error) {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.refuse(http.StatusRequestTimeout)
+		c.refuse(c.server.lateStatus())
 	case c.limited.N <= 0:
 		c.refuse(http.StatusRequestHeaderFieldsTooLarge)
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
@@ -318,7 +322,7 @@
 	case errors.Is(err, errBodyTooLarge):
 		c.refuse(http.StatusRequestEntityTooLarge)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.refuse(http.StatusRequestTimeout)
+		c.refuse(c.server.lateStatus())
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed):
 	default:
 		c.refuse(http.StatusBadRequest)
@@ -329,6 +333,9 @@
 func (c *callerConn) refuse(status int) {
 	c.server.Log.Info("RequestUnreadable", "status", status, "caller", c.RemoteAddr().String())
 	h := http.Header{"Connection": {"close"}, "Content-Length": {"0"}}
+	if status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", retryAfterUnread)
+	}
 	if c.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil {
 		return
 	}
@@ -341,7 +348,7 @@
 		}
 	}
 	c.limited.N = lingerBytes
-	if !c.expire(lingerTime) {
+	if c.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
 		return
 	}
 	// Unread data would make the close reset the connection, so the rest of the request is read and dropped.
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -131,6 +131,8 @@
 		return cmds
 	case <-s.Disconnected:
 		return s.core.Update(time.Now(), flow.CallerDisconnected{})
+	case <-s.stopEnd():
+		return s.endForStop(time.Now())
 	case <-timer.C:
 		now = time.Now()
 		if !now.Before(s.deadline) {
@@ -256,6 +258,7 @@
 			s.log("AnswerNotDelivered", slog.LevelInfo, "error", err.Error())
 		}
 		s.handler.streamDurations.add(time.Since(s.Arrived))
+		s.recordDuration()
 		s.recordEnd("", teaselstream.Ran, "")
 	case c.CallerLeft:
 		s.Abort()
