entry: count requests that are being read in a planned stop

Callers could see: an order whose header arrived after the listener had closed was taken by a VM whose control plane had ended, so that it had said goodbye to the others. Found by reading; not seen in a run of whole VMs.

Cause: the stop counted requests from their handler on, while the HTTP server still waited for connections that it read from.

Change: once the listener is closed, open connections count as calls in flight. The HTTP server waits for the same connections, so that the exit is no later than before.

--- a/cmd/entry/serve.go
+++ b/cmd/entry/serve.go
@@ -59,6 +59,8 @@
 	// from its snapshot, before startControl returns.
 	startedControl atomic.Pointer[ctrl.Control]
 	stopping       atomic.Bool
+	// listenersClosed is set when the callers' listener closes.
+	listenersClosed atomic.Bool
 	// warmedUp is set once the VM can serve requests; documentSince is the time of the first readiness check with a document.
 	warmedUp      atomic.Bool
 	documentSince atomic.Pointer[time.Time]
@@ -198,6 +200,10 @@
 
 func (p *process) inFlight() drain.InFlight {
 	n := drain.InFlight{Streams: p.models.InFlight(), Calls: p.front.Calls(), Orders: p.calls.Orders()}
+	if p.listenersClosed.Load() {
+		// A request that is still being read needs the control plane as well.
+		n.Calls = max(n.Calls, p.front.OpenConnections())
+	}
 	if old := p.lastInFlight.Swap(&n); old == nil || *old != n {
 		slog.Info("waiting for work in flight", "streams", n.Streams, "calls", n.Calls, "orders", n.Orders)
 	}
@@ -206,6 +212,7 @@
 
 // closeListeners stops accepting requests; requests in flight continue.
 func (p *process) closeListeners() {
+	p.listenersClosed.Store(true)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), p.settings.Limits.DrainTimeout)
 		defer cancel()
--- a/front/server.go
+++ b/front/server.go
@@ -132,6 +132,10 @@
 // Calls returns the number of calls to plain services in flight.
 func (s *Server) Calls() int { return int(s.callsInFlight.Load()) }
 
+// OpenConnections returns the number of callers' connections. After the listener was closed, each has a request in progress, which may
+// still be read, or is closed soon.
+func (s *Server) OpenConnections() int { return max(0, int(s.callerServer.GetOpenConnectionsCount())) }
+
 // Shutdown closes the callers' listener, waits until all requests have ended, and then shuts down the operators' listener.
 func (s *Server) Shutdown(ctx context.Context) error {
 	err := s.callerServer.ShutdownWithContext(ctx)
