gate: test of VMs that lose all servers, fails

TestVMsWithoutServers plays connections that hang, are reset, or live on while new ones are refused.

plat.Network partitions VMs from the replicas by the source of a connection; for it, the functions that open connections to servers can be replaced (proxy.Handler.Dial, hconn.Client.Dial). No change of behaviour without it.

--- /dev/null
+++ b/cmd/gate/isolated_test.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/teaselstream/teaselstream/cmd/stand/plat"
+)
+
+const (
+	// testContactTime is the time after the start of a cut from which requests at the VMs that are cut off have to be served: the
+	// platform's ContactMs.
+	testContactTime = 3 * time.Second
+	// servedFraction is the least share of first tries served at VMs that are cut off, relative to the other VMs.
+	servedFraction = 2.0 / 3
+	// regainTime is the time after the end of a cut from which a VM has to use its own connections to servers again.
+	regainTime = 2 * time.Second
+)
+
+// shareAt returns the share of sound requests to some gates in a time span that were answered, and their number.
+func (l *gateLoad) shareAt(gates []string, from, to time.Time) (share float64, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	served := 0
+	for _, x := range l.sound {
+		if x.at.Before(from) || !x.at.Before(to) || !slices.Contains(gates, x.gate) {
+			continue
+		}
+		n++
+		if x.answered {
+			served++
+		}
+	}
+	return float64(served) / float64(max(n, 1)), n
+}
+
+// sendOrder sends a request that must not run twice, and reports one that did or that was refused as not run after it had.
+func (l *gateLoad) sendOrder(t *testing.T) {
+	a := l.send(http.MethodPost, "/order/1", "{}")
+	ran := l.platform.fleet.Ran(a.attempt)
+	if ran > 1 || ran > 0 && a.status == http.StatusServiceUnavailable {
+		t.Errorf("order %s ran %d times and got status %d, error %v; log of the request:\n%s", a.attempt, ran, a.status, a.err,
+			l.platform.gateLog.linesAbout(a.attempt))
+	}
+}
+
+// Guards against VMs that are partitioned from all servers, while callers, the store and other VMs reach them, and that refuse
+// their callers' requests (RECOVER), and against VMs that go on without their own connections after the partition.
+func TestVMsWithoutServers(t *testing.T) {
+	const gates = 5
+	// Gates 0 to 2 are in one failure domain, gates 3 and 4 in another.
+	domainOf := func(gate int) string { return []string{"zone-a", "zone-b"}[gate/3] }
+	for _, c := range []struct {
+		name string
+		cut  plat.Cut
+		vms  []int
+	}{
+		{"HangSome", plat.CutHangs, []int{0, 3}},
+		{"HangDomain", plat.CutHangs, []int{0, 1, 2}},
+		{"ResetDomain", plat.CutResets, []int{0, 1, 2}},
+		{"RefuseMost", plat.CutRefuses, []int{0, 1, 2, 3}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			l := startLoadIn(t, gates, domainOf, nil)
+			s := l.platform
+			var cutOff, others []string
+			for i, a := range s.gateAddresses {
+				if slices.Contains(c.vms, i) {
+					cutOff = append(cutOff, a)
+				} else {
+					others = append(others, a)
+				}
+			}
+			l.every(16*time.Millisecond, func() { l.sendSound(fmt.Sprintf("/draft/?n=%d", 5+rand.IntN(40)), sharedSegment) })
+			l.every(20*time.Millisecond, func() { l.sendSound("/look/1") })
+			l.every(40*time.Millisecond, func() { l.sendOrder(t) })
+			time.Sleep(time.Second)
+			s.network.Cut(c.cut, cutOff...)
+			cutAt := time.Now()
+			sleepUntil(cutAt.Add(testContactTime + 2*time.Second))
+			s.network.Mend(cutOff...)
+			mendedAt := time.Now()
+			sleepUntil(mendedAt.Add(regainTime))
+			carried := make(map[string]int64)
+			for _, a := range cutOff {
+				carried[a] = s.network.Carried(a)
+			}
+			time.Sleep(time.Second)
+			for _, a := range cutOff {
+				const leastBytes = 4 << 10
+				if n := s.network.Carried(a) - carried[a]; n < leastBytes {
+					t.Errorf("gate %s had %d bytes to and from servers in the second after the cut, want %d", a, n, leastBytes)
+				}
+			}
+			served, n := l.shareAt(cutOff, cutAt.Add(testContactTime), mendedAt)
+			servedThere, m := l.shareAt(others, cutAt.Add(testContactTime), mendedAt)
+			t.Logf("served %.3f of %d at the gates that are cut off, %.3f of %d at the others", served, n, servedThere, m)
+			if served < servedFraction*servedThere || servedThere < 0.9 {
+				t.Errorf("served %.2f of %d at the gates that are cut off, %.2f of %d at the others, want %.2f as many", served, n, servedThere, m, servedFraction)
+			}
+			if served, n = l.shareAt(cutOff, mendedAt.Add(regainTime), time.Now().Add(-500*time.Millisecond)); served < 0.9 {
+				t.Errorf("served %.2f of %d after the cut, want 0.9", served, n)
+			}
+		})
+	}
+}
--- a/cmd/gate/load_test.go
+++ b/cmd/gate/load_test.go
@@ -124,7 +124,13 @@
 // startLoad starts gates, replicas that a request crashes if harmful says so, and a load without harmful requests.
 func startLoad(t *testing.T, gates int, harmful func(*http.Request) bool) *gateLoad {
 	t.Helper()
-	s := startPlatformWith(t, gates, func(f *plat.Fleet) { f.Crashes = harmful })
+	return startLoadIn(t, gates, nil, harmful)
+}
+
+// startLoadIn starts a load as startLoad does, with gates in the failure domains that domainOf returns.
+func startLoadIn(t *testing.T, gates int, domainOf func(gate int) string, harmful func(*http.Request) bool) *gateLoad {
+	t.Helper()
+	s := startPlatformIn(t, gates, domainOf, func(f *plat.Fleet) { f.Crashes = harmful })
 	for i := range 14 {
 		if _, err := s.fleet.Add(fmt.Sprintf("x%d", i), "zone-a", "acc"); err != nil {
 			t.Fatal(err)
--- a/cmd/gate/main.go
+++ b/cmd/gate/main.go
@@ -62,7 +62,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log.Info("Started", "version", launch.Version(), "settings", file)
-	if err := serveUntil(ctx, file, settings, log); err != nil {
+	if err := serveUntil(ctx, file, settings, log, nil); err != nil {
 		log.Error("Failed", "error", err)
 		return launch.PrintError(program, launch.ExitFailure, err)
 	}
--- a/cmd/gate/path_test.go
+++ b/cmd/gate/path_test.go
@@ -28,8 +28,11 @@
 
 // testPlatform is a simulated platform with gates in front of it.
 type testPlatform struct {
-	store         *plat.Store
-	fleet         *plat.Fleet
+	store   *plat.Store
+	fleet   *plat.Fleet
+	network plat.Network
+	// domainOf returns the failure domain of a gate; nil means zone-a.
+	domainOf      func(gate int) string
 	modelReplicas []*plat.Replica
 	gateAddresses []string
 	storeAddress  string
@@ -73,7 +76,13 @@
 // startPlatformWith starts a platform as startPlatform does, after configure has changed its fleet.
 func startPlatformWith(t *testing.T, gates int, configure func(*plat.Fleet)) *testPlatform {
 	t.Helper()
-	s := &testPlatform{store: &plat.Store{}}
+	return startPlatformIn(t, gates, nil, configure)
+}
+
+// startPlatformIn starts a platform as startPlatformWith does, with gates in the failure domains that domainOf returns.
+func startPlatformIn(t *testing.T, gates int, domainOf func(gate int) string, configure func(*plat.Fleet)) *testPlatform {
+	t.Helper()
+	s := &testPlatform{store: &plat.Store{}, domainOf: domainOf}
 	storeListener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -127,12 +136,16 @@
 func (s *testPlatform) startGate(t *testing.T, n int, store string) {
 	t.Helper()
 	const perGate = 3
+	domain := "zone-a"
+	if s.domainOf != nil {
+		domain = s.domainOf(n)
+	}
 	addresses, err := plat.FreeAddresses(perGate)
 	if err != nil {
 		t.Fatal(err)
 	}
 	file := filepath.Join(t.TempDir(), "gate.ini")
-	text := fmt.Sprintf("[VM]\nName = vm%d\nDomain = zone-a\n[Listen]\nCallers = %s\nReady = %s\nPeers = %s\n[Store]\nAddresses = %s\n[Bounds]\nRetrySlack = 600\n", n, addresses[0], addresses[1], addresses[2], store)
+	text := fmt.Sprintf("[VM]\nName = vm%d\nDomain = %s\n[Listen]\nCallers = %s\nReady = %s\nPeers = %s\n[Store]\nAddresses = %s\n[Bounds]\nRetrySlack = 600\n", n, domain, addresses[0], addresses[1], addresses[2], store)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -144,7 +157,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if err := serveUntil(ctx, file, settings, slog.New(slog.NewJSONHandler(&s.gateLog, nil))); err != nil {
+		if err := serveUntil(ctx, file, settings, slog.New(slog.NewJSONHandler(&s.gateLog, nil)), s.network.Dial(settings.Listen.Callers)); err != nil {
 			t.Error(err)
 		}
 	}()
--- a/cmd/gate/serve.go
+++ b/cmd/gate/serve.go
@@ -18,11 +18,13 @@
 	"github.com/teaselstream/teaselstream/chain"
 	"github.com/teaselstream/teaselstream/config"
 	"github.com/teaselstream/teaselstream/fleet"
+	"github.com/teaselstream/teaselstream/hconn"
 	"github.com/teaselstream/teaselstream/meter"
 	"github.com/teaselstream/teaselstream/pick"
 	"github.com/teaselstream/teaselstream/platform"
 	"github.com/teaselstream/teaselstream/proxy"
 	"github.com/teaselstream/teaselstream/share"
+	"github.com/teaselstream/teaselstream/sock"
 	"github.com/teaselstream/teaselstream/watch"
 )
 
@@ -51,15 +53,17 @@
 	server      *proxy.Server
 	meter       *meter.Meter
 	stopping    atomic.Bool
+	dial        sock.DialFunc
 }
 
-// serveUntil runs the router until ctx ends, then drains the requests in flight.
-func serveUntil(ctx context.Context, file string, settings config.GateSettings, log *slog.Logger) error {
+// serveUntil runs the router until ctx ends, then drains the requests in flight. It connects to servers with dial, or with net.Dialer
+// if dial is nil.
+func serveUntil(ctx context.Context, file string, settings config.GateSettings, log *slog.Logger, dial sock.DialFunc) error {
 	m, err := meter.New(ctx, meter.Options{VM: settings.VM.Name})
 	if err != nil {
 		return fmt.Errorf("start metrics: %w", err)
 	}
-	p := &process{file: file, log: log, store: &platform.Store{}, meter: m}
+	p := &process{file: file, log: log, store: &platform.Store{}, meter: m, dial: dial}
 	p.assemble(settings)
 	p.applySettings(settings)
 	p.budgets.Start(time.Now())
@@ -108,7 +112,7 @@
 	planner := &chain.Planner{DrainTime: settings.Bounds.DrainTime, Rand: random}
 	p.controlLoop = newControlLoop(settings, p.log)
 	p.handler = &proxy.Handler{
-		View: p.controlLoop.current, Dialect: platform.Dialect{}, Replicas: &platform.Replicas{}, Planner: planner,
+		View: p.controlLoop.current, Dialect: platform.Dialect{}, Replicas: &platform.Replicas{Conn: hconn.Client{Dial: p.dial}}, Dial: p.dial, Planner: planner,
 		Quarantine: p.controlLoop.quarantine.Load,
 		Balancer:   &pick.Balancer{Rand: random}, Budgets: &p.budgets, Rand: random, Meter: p.meter, Log: p.log, Post: p.controlLoop.post,
 	}
--- a/hconn/client.go
+++ b/hconn/client.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/sock"
 )
 
 const (
@@ -32,6 +33,9 @@
 
 // Client calls HTTP servers and never repeats a call; its zero value works.
 type Client struct {
+	// Dial opens connections; nil means net.Dialer. It must be set before the first call.
+	Dial sock.DialFunc
+
 	once   sync.Once
 	client *fasthttp.Client
 }
@@ -74,7 +78,7 @@
 
 func (c *Client) init() {
 	c.client = &fasthttp.Client{
-		Dial: dial,
+		Dial: c.dial,
 		// By default the library repeats a call although the first attempt may have had an effect.
 		MaxIdemponentCallAttempts:     1,
 		RetryIfErr:                    neverRetry,
@@ -89,8 +93,14 @@
 
 func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
 
-func dial(address string) (net.Conn, error) {
-	n, err := net.DialTimeout("tcp", address, dialTimeout)
+func (c *Client) dial(address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	dial := c.Dial
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	n, err := dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errDial, err)
 	}
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -55,7 +55,7 @@
 // The connection closes when ctx ends. An error wraps errDial or ErrWithheld if nothing was sent.
 func (h *Handler) send(ctx context.Context, to *fleet.Member, r reuse, m *outgoingRequest, id teaselstream.AttemptID) (*upstreamResponse, error) {
 	planned := time.Now()
-	u, err := h.pool.get(ctx, to.Address, r)
+	u, err := h.pool.get(ctx, to.Address, r, h.dialServer)
 	if err != nil {
 		return nil, err
 	}
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/crash"
 	"github.com/teaselstream/teaselstream/fleet"
+	"github.com/teaselstream/teaselstream/sock"
 )
 
 const (
@@ -76,7 +76,7 @@
 // reportLoss reports that a server broke off the request without an answer, if the server has ended.
 func (r *request) reportLoss(m *fleet.Member, begun bool) {
 	h := r.handler
-	if !h.endings.check(m.ID, m.Address) {
+	if !h.endings.check(m.ID, m.Address, h.dialServer) {
 		return
 	}
 	h.Post(fleet.Unreachable{Server: m.ID, Incarnation: m.Incarnation, Ended: true, Reason: "broke off answers and refuses connections"})
@@ -85,7 +85,7 @@
 }
 
 // check reports whether a server has ended: its address refuses connections.
-func (e *endings) check(id teaselstream.ServerID, address string) bool {
+func (e *endings) check(id teaselstream.ServerID, address string, dial sock.DialFunc) bool {
 	now := time.Now()
 	e.mu.Lock()
 	if e.recent == nil {
@@ -97,10 +97,10 @@
 		c = &endCheck{at: now, done: make(chan struct{})}
 		e.recent[id] = c
 		e.mu.Unlock()
-		c.ended = refusesConnections(address)
+		c.ended = refusesConnections(address, dial)
 		if !c.ended {
 			time.Sleep(endCheckDelay)
-			c.ended = refusesConnections(address)
+			c.ended = refusesConnections(address, dial)
 		}
 		close(c.done)
 		return c.ended
@@ -118,10 +118,10 @@
 	}
 }
 
-func refusesConnections(address string) bool {
+func refusesConnections(address string, dial sock.DialFunc) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	c, err := dial(ctx, "tcp", address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -14,6 +14,7 @@
 	"github.com/teaselstream/teaselstream/notice"
 	"github.com/teaselstream/teaselstream/pick"
 	"github.com/teaselstream/teaselstream/quota"
+	"github.com/teaselstream/teaselstream/sock"
 )
 
 const (
@@ -37,6 +38,8 @@
 		Log      *slog.Logger
 		// Post sends observations of a server to the control loop.
 		Post func(teaselstream.Msg)
+		// Dial opens connections to servers; nil means net.Dialer.
+		Dial sock.DialFunc
 		// Quarantine returns what requests that crash servers have in common; nil refuses none.
 		Quarantine func() *crash.Quarantine
 		// Limits holds the requests that servers take, as far as they have named limits.
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -77,15 +77,14 @@
 	}
 }
 
-// get returns an idle connection or dials one.
-func (p *Pool) get(ctx context.Context, address string, r reuse) (*serverConn, error) {
+// get returns an idle connection or opens one with dial.
+func (p *Pool) get(ctx context.Context, address string, r reuse, dial sock.DialFunc) (*serverConn, error) {
 	if r != reuseNone {
 		if u := p.take(address, r == reuseRecent); u != nil {
 			return u, nil
 		}
 	}
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	c, err := d.DialContext(ctx, "tcp", address)
+	c, err := dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, errors.Join(errDial, err))
 	}
