--- /dev/null
+++ b/reach/tracker_test.go
@@ -0,0 +1,83 @@
+package reach
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/fleet"
+)
+
+// Guards against VMs that go on without their own connections because single servers, or those of one domain, are down; against a
+// cut that is not noticed, or whose end is not; and against probes without need.
+func TestTrackerScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var s script
+			for _, line := range strings.Split(d.Input, "\n") {
+				s.line(t, strings.Fields(line))
+			}
+			return strings.Join(s.out, "\n")
+		})
+	})
+}
+
+type script struct {
+	tracker Tracker
+	ms      int
+	out     []string
+}
+
+// line applies "servers ADDRESS/DOMAIN[/down]...", or "MS connected|failed ADDRESS..." or "MS tick".
+func (s *script) line(t *testing.T, w []string) {
+	if w[0] == "servers" {
+		v := &fleet.View{Members: make(map[teaselstream.ServerID]*fleet.Member)}
+		for _, x := range w[1:] {
+			f := strings.Split(x, "/")
+			m := &fleet.Member{Replica: teaselstream.Replica{ID: teaselstream.ServerID(f[0]), Address: f[0], Domain: teaselstream.DomainID(f[1])}}
+			if len(f) > 2 {
+				m.State = fleet.Down
+			}
+			v.Members[m.ID] = m
+		}
+		s.send(ViewChanged{v})
+		return
+	}
+	if _, err := fmt.Sscan(w[0], &s.ms); err != nil {
+		t.Fatal(err)
+	}
+	if w[1] == "tick" {
+		s.send(teaselstream.Tick{})
+		return
+	}
+	for _, a := range w[2:] {
+		switch w[1] {
+		case "connected":
+			s.send(Connected{a})
+		case "failed":
+			s.send(Failed{a})
+		default:
+			t.Fatalf("unknown line %q", w)
+		}
+	}
+}
+
+func (s *script) send(m teaselstream.Msg) {
+	start := time.Unix(1000, 0)
+	for _, c := range s.tracker.Update(start.Add(time.Duration(s.ms)*time.Millisecond), m) {
+		switch c := c.(type) {
+		case Probe:
+			s.out = append(s.out, fmt.Sprintf("%d probe %s", s.ms, strings.Join(c.Addresses, " ")))
+		case SetIsolated:
+			line := fmt.Sprintf("%d isolated %t, %d servers", s.ms, c.Isolated, c.Servers)
+			if c.Isolated {
+				line += fmt.Sprintf(", since %d", c.Since.Sub(start).Milliseconds())
+			}
+			s.out = append(s.out, line)
+		}
+	}
+}
