--- a/cmd/gate/load_test.go
+++ b/cmd/gate/load_test.go
@@ -23,6 +23,8 @@
 	sent     atomic.Int64
 	mu       sync.Mutex
 	sound    []soundRequest
+	// finish ends the load and waits for its requests.
+	finish func()
 }
 
 type soundRequest struct {
@@ -124,7 +126,13 @@
 // startLoad starts gates, replicas that a request crashes if harmful says so, and a load without harmful requests.
 func startLoad(t *testing.T, gates int, harmful func(*http.Request) bool) *gateLoad {
 	t.Helper()
-	s := startPlatformWith(t, gates, func(f *plat.Fleet) { f.Crashes = harmful })
+	return startLoadWith(t, gates, func(s *testPlatform) { s.fleet.Crashes = harmful })
+}
+
+// startLoadWith starts a load as startLoad does, after configure has changed the fleet or its bounds.
+func startLoadWith(t *testing.T, gates int, configure func(*testPlatform)) *gateLoad {
+	t.Helper()
+	s := startPlatformWith(t, gates, configure)
 	for i := range 14 {
 		if _, err := s.fleet.Add(fmt.Sprintf("x%d", i), "zone-a", "acc"); err != nil {
 			t.Fatal(err)
@@ -136,10 +144,11 @@
 		}
 	}
 	l := &gateLoad{platform: s, stop: make(chan struct{})}
-	t.Cleanup(func() {
+	l.finish = sync.OnceFunc(func() {
 		close(l.stop)
 		l.wait.Wait()
 	})
+	t.Cleanup(l.finish)
 	// The replicas that were added load their layers meanwhile.
 	time.Sleep(2 * time.Second)
 	return l
--- a/cmd/gate/path_test.go
+++ b/cmd/gate/path_test.go
@@ -35,6 +35,8 @@
 	storeAddress  string
 	stopGates     []func()
 	gateLog       requestLog
+	// bounds holds the settings of the gates' section Bounds.
+	bounds string
 }
 
 // requestLog collects the gates' log; a failed test prints the lines about its request.
@@ -67,13 +69,13 @@
 // startPlatform starts a store, replicas in one failure domain and the given number of gates, and waits until a stream succeeds.
 func startPlatform(t *testing.T, gates int) *testPlatform {
 	t.Helper()
-	return startPlatformWith(t, gates, func(*plat.Fleet) {})
+	return startPlatformWith(t, gates, func(*testPlatform) {})
 }
 
-// startPlatformWith starts a platform as startPlatform does, after configure has changed its fleet.
-func startPlatformWith(t *testing.T, gates int, configure func(*plat.Fleet)) *testPlatform {
+// startPlatformWith starts a platform as startPlatform does, after configure has changed its fleet or its bounds.
+func startPlatformWith(t *testing.T, gates int, configure func(*testPlatform)) *testPlatform {
 	t.Helper()
-	s := &testPlatform{store: &plat.Store{}}
+	s := &testPlatform{store: &plat.Store{}, bounds: "RetrySlack = 600"}
 	storeListener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -82,7 +84,7 @@
 	server := &http.Server{Handler: s.store, ReadHeaderTimeout: startTime}
 	go func() { _ = server.Serve(storeListener) }()
 	s.fleet = &plat.Fleet{Store: s.store, ModelService: "model", PlainService: "plain", Layers: testLayers}
-	configure(s.fleet)
+	configure(s)
 	s.fleet.Configure(1, testKey)
 	for i := range 4 {
 		r, err := s.fleet.Add(fmt.Sprintf("m%d", i), "zone-a", "acc")
@@ -132,7 +134,7 @@
 		t.Fatal(err)
 	}
 	file := filepath.Join(t.TempDir(), "gate.ini")
-	text := fmt.Sprintf("[VM]\nName = vm%d\nDomain = zone-a\n[Listen]\nCallers = %s\nReady = %s\nPeers = %s\n[Store]\nAddresses = %s\n[Bounds]\nRetrySlack = 600\n", n, addresses[0], addresses[1], addresses[2], store)
+	text := fmt.Sprintf("[VM]\nName = vm%d\nDomain = zone-a\n[Listen]\nCallers = %s\nReady = %s\nPeers = %s\n[Store]\nAddresses = %s\n[Bounds]\n%s\n", n, addresses[0], addresses[1], addresses[2], store, s.bounds)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/stand/plat/pause.go
+++ b/cmd/stand/plat/pause.go
@@ -6,8 +6,9 @@
 	"time"
 )
 
-// pausePoll is the interval at which a paused replica checks whether its pause has ended.
-const pausePoll = 2 * time.Millisecond
+// pausePoll is the interval at which a paused replica checks whether its pause was ended early, by a crash. It is not shorter, because
+// all connections and streams of all paused replicas check.
+const pausePoll = 50 * time.Millisecond
 
 // pause is the time, in nanoseconds since 1970, until which a replica is paused; its zero value is in the past.
 type pause struct{ until atomic.Int64 }
@@ -16,7 +17,7 @@
 
 func (p *pause) wait() {
 	for p.active() {
-		time.Sleep(pausePoll)
+		time.Sleep(min(pausePoll, time.Until(time.Unix(0, p.until.Load()))))
 	}
 }
 
--- a/cmd/stand/plat/replica.go
+++ b/cmd/stand/plat/replica.go
@@ -72,6 +72,8 @@
 		running map[string]*stream
 		// limit is the number of requests a second that the replica names in its answers; 0 means none.
 		limit float64
+		// slots bounds the streams that the replica runs as the first of their path; 0 means no bound.
+		slots int
 		// arrived holds when requests arrived at the replica as the first of their path and were not refused for wrong layers.
 		arrived []time.Time
 		reached []Arrival
@@ -357,6 +359,13 @@
 	r.limit = perSecond
 }
 
+// SetSlots bounds the streams that the replica runs as the first of their path; it refuses more of them. 0 means no bound.
+func (r *Replica) SetSlots(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.slots = n
+}
+
 // Arrivals returns when requests arrived at the replica as the first of their path.
 func (r *Replica) Arrivals() []time.Time {
 	r.mu.Lock()
@@ -431,11 +440,19 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	r.recordStart(q)
 	s := &stream{path: path}
 	r.mu.Lock()
-	r.running[id] = s
+	full := r.slots > 0 && len(r.running) >= r.slots
+	if !full {
+		r.running[id] = s
+	}
 	r.mu.Unlock()
+	if full {
+		w.Header().Set("X-Not-Executed", "busy")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	r.recordStart(q)
 	defer func() {
 		r.mu.Lock()
 		delete(r.running, id)
