faults: phases of silent replicas, and of VMs without any replica

After the faults of a seed, whose plan stays as it was, replicas fall silent for about a second, one or more at once, beside changes of the configuration: no request may end without a complete answer. Then some VMs, or all of a failure domain, are partitioned from all replicas for 5 to 8 s: connections hang, are reset, or live on while new ones are refused; callers, the store and other VMs reach them. From 3 s on, steady callers of these VMs must not be served less than two thirds as often as those of the others if more than 10 + 1 in 50 fail (RECOVER). Links know a connection's VM by the inode of its other end; a first form, which read the system's table of connections for each new one, took some 20 ms each and disturbed the VMs that were not cut off.

--- a/cmd/faults/caller.go
+++ b/cmd/faults/caller.go
@@ -22,6 +22,11 @@
 	// shortStream and longStream bound the number of events of a stream; replicas send one every 15 ms.
 	shortStream = 5
 	longStream  = 120
+	// eventWait is the time without an event after which the platform's callers leave.
+	eventWait = 2 * time.Second
+	// steadyPeriod is the time between two requests of steady callers, and steadyStream bounds the events of their streams.
+	steadyPeriod = 40 * time.Millisecond
+	steadyStream = 40
 	// drainTime is the platform's DrainMs.
 	drainTime = 2 * time.Second
 	// waitGrace is the time after a 503 with Retry-After from which requests count, and maxInWait the number that is allowed.
@@ -46,6 +51,16 @@
 		// sent holds the VM and time of each request by its attempt id, and leaving the answers that said that a replica leaves.
 		sent    map[string]sentRequest
 		leaving []leavingAnswer
+		// tries holds how the requests of steady callers ended, and unanswered the requests without a complete answer.
+		tries      []try
+		unanswered []string
+	}
+
+	// try is a request of a steady caller; none repeats an earlier one. It counts as served if that took less than eventWait.
+	try struct {
+		vm     *vm
+		at     time.Time
+		served bool
 	}
 
 	sentRequest struct {
@@ -97,21 +112,62 @@
 			return
 		default:
 		}
-		served := false
-		switch r.IntN(4) {
-		case 0:
-			served = c.order(transport, v)
-		case 1:
-			served = c.read(transport, v)
-		default:
-			served = c.stream(transport, v, shortStream+r.IntN(longStream-shortStream))
-		}
-		if !served {
+		if !c.draw(r, longStream)(transport, v) {
 			time.Sleep(refusedWait)
 		}
 	}
 }
 
+// draw returns a random request, which reports whether it was served. Streams have fewer than a number of events.
+func (c *callers) draw(r *rand.Rand, events int) func(t *http.Transport, v *vm) bool {
+	switch r.IntN(4) {
+	case 0:
+		return c.order
+	case 1:
+		return c.read
+	default:
+		n := shortStream + r.IntN(events-shortStream)
+		return func(t *http.Transport, v *vm) bool { return c.stream(t, v, n) }
+	}
+}
+
+// runSteadily sends requests to one VM at a steady rate, whether or not earlier ones have ended, until stop is closed. It returns when all
+// have ended.
+func (c *callers) runSteadily(v *vm, r *rand.Rand, stop <-chan struct{}) {
+	transport := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}
+	defer transport.CloseIdleConnections()
+	tick := time.NewTicker(steadyPeriod)
+	defer tick.Stop()
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-tick.C:
+		}
+		request := c.draw(r, steadyStream)
+		wait.Go(func() {
+			began := time.Now()
+			c.recordTry(try{v, began, request(transport, v) && time.Since(began) < eventWait})
+		})
+	}
+}
+
+func (c *callers) recordTry(t try) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tries = append(c.tries, t)
+}
+
+// countUnanswered counts a request that ended without a complete answer.
+func (c *callers) countUnanswered(what, id string) {
+	c.count(what)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unanswered = append(c.unanswered, what+": "+id)
+}
+
 func (c *callers) send(t *http.Transport, v *vm, method, path, attempt, key string) (*http.Response, error) {
 	q, err := http.NewRequest(method, "http://"+v.callers+path, nil)
 	if err != nil {
@@ -194,7 +250,7 @@
 	id := c.nextID(v.name)
 	p, err := c.send(t, v, http.MethodGet, fmt.Sprintf("/draft/?n=%d", n), id, testKey)
 	if err != nil {
-		c.count("stream without an answer")
+		c.countUnanswered("stream without an answer", id)
 		return false
 	}
 	defer sock.Discard(p.Body)
@@ -206,10 +262,14 @@
 	if !strings.HasPrefix(plat.ReplicaID(p.Header), "m") {
 		c.recordViolation("stream %s: status 200 without a replica's stamp", id)
 	}
-	next := 1
+	next, last := 1, time.Now()
 	s := bufio.NewScanner(p.Body)
 	for s.Scan() {
 		if text, ok := strings.CutPrefix(s.Text(), "id: "); ok {
+			if time.Since(last) > eventWait {
+				c.countUnanswered("stream without an event for too long", id)
+			}
+			last = time.Now()
 			if text != fmt.Sprint(next) {
 				c.recordViolation("stream %s: got event %s, want %d", id, text, next)
 				return false
@@ -219,7 +279,7 @@
 	}
 	switch {
 	case s.Err() != nil:
-		c.count("stream cut")
+		c.countUnanswered("stream cut", id)
 		return false
 	case next != n+1:
 		c.recordViolation("stream %s: ended without an error after %d of %d events", id, next-1, n)
@@ -264,13 +324,13 @@
 func (c *callers) call(t *http.Transport, v *vm, method, path, id string) (int, string) {
 	p, err := c.send(t, v, method, path, id, testKey)
 	if err != nil {
-		c.count("call without an answer")
+		c.countUnanswered("call without an answer", id)
 		return 0, ""
 	}
 	defer sock.Discard(p.Body)
 	body, err := io.ReadAll(p.Body)
 	if err != nil {
-		c.count("call cut")
+		c.countUnanswered("call cut", id)
 		return 0, ""
 	}
 	c.count(fmt.Sprintf("call %d", p.StatusCode))
--- a/cmd/faults/doc.go
+++ b/cmd/faults/doc.go
@@ -4,4 +4,8 @@
 // A seed determines the faults of each run, which follow each other and overlap: forwarders delay, hold or reset the
 // connections to the store and to replicas, or hold one direction; signals pause, kill and stop VMs, which then start
 // again; replicas crash, fall silent and leave; the store is down or loses its history; configurations change.
+//
+// Two phases follow in which nothing else is disturbed: replicas fall silent for about a second and go on, which must end no request
+// early; and some VMs are partitioned from all replicas, while callers, the store and other VMs reach them, which must not make their
+// callers be served far worse.
 package main
--- a/cmd/faults/faults_test.go
+++ b/cmd/faults/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"net"
 	"os"
 	"strings"
 	"testing"
@@ -50,6 +51,38 @@
 	}
 }
 
+// Guards against requests that end without a complete answer because replicas fall silent for a second and go on (LOST).
+func TestReplicasFallSilent(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { testPhase(t, seed, "silence") })
+	}
+}
+
+// Guards against callers of VMs that are partitioned from all replicas, while the store and the other VMs reach them, being served far
+// worse than those of the others (RECOVER).
+func TestVMsWithoutReplicas(t *testing.T) {
+	for _, form := range []cutForm{cutHang, cutReset, cutRefuse} {
+		t.Run(form.String(), func(t *testing.T) { testPhase(t, 1, form.String()) })
+	}
+}
+
+// testPhase makes a run of one phase without other faults.
+func testPhase(t *testing.T, seed uint64, phase string) {
+	t.Helper()
+	dir := t.TempDir()
+	gate, err := buildGate(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	violations, err := runSeed(seed, options{Phases: []string{phase}, Verbose: true}, dir, gate)
+	if err != nil {
+		t.Error(err)
+	}
+	for _, v := range violations {
+		t.Error(v)
+	}
+}
+
 // Guards against a VM that cannot listen because an outgoing connection, which uses a port of 127.0.0.1, or another VM of the
 // run took its address. In 82 of 20,000 trials two of nine addresses were the same.
 func TestVMAddressesAreTheirOwn(t *testing.T) {
@@ -71,3 +104,28 @@
 		}
 	}
 }
+
+// Guards against a connection that is taken for one of another process, so that a partition reaches the wrong VMs.
+func TestConnectionsAreAssigned(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sock.Discard(l)
+	own, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sock.Discard(own)
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sock.Discard(accepted)
+	if x := (&cut{pids: []int{os.Getpid()}}); !x.affects(accepted) {
+		t.Error("a connection of this process is not assigned to it")
+	}
+	if x := (&cut{pids: []int{os.Getppid()}}); x.affects(accepted) {
+		t.Error("a connection of this process is assigned to another one")
+	}
+}
--- a/cmd/faults/link.go
+++ b/cmd/faults/link.go
@@ -41,9 +41,12 @@
 	target   string
 	listener net.Listener
 
-	mu     sync.Mutex
-	mode   mode
-	conns  map[net.Conn]bool
+	mu    sync.Mutex
+	mode  mode
+	conns map[net.Conn]bool
+	// cut is the partition in force, or nil, and held are the connections whose bytes it keeps.
+	cut    *cut
+	held   map[net.Conn]bool
 	closed bool
 }
 
@@ -52,7 +55,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for link: %w", err)
 	}
-	k := &link{target: target, listener: l, conns: make(map[net.Conn]bool)}
+	k := &link{target: target, listener: l, conns: make(map[net.Conn]bool), held: make(map[net.Conn]bool)}
 	go k.accept()
 	return k, nil
 }
@@ -107,11 +110,12 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	delete(k.conns, c)
+	delete(k.held, c)
 	sock.Discard(c)
 }
 
 func (k *link) relay(c net.Conn) {
-	if !k.track(c) {
+	if !k.admit(c) || !k.track(c) {
 		return
 	}
 	defer k.untrack(c)
@@ -125,22 +129,22 @@
 	}
 	defer k.untrack(d)
 	var wait sync.WaitGroup
-	wait.Go(func() { k.copyBytes(d, c, false) })
-	wait.Go(func() { k.copyBytes(c, d, true) })
+	wait.Go(func() { k.copyBytes(d, c, c, false) })
+	wait.Go(func() { k.copyBytes(c, d, c, true) })
 	wait.Wait()
 }
 
-// waitToPass waits until the mode lets bytes pass in a direction. It returns false once the link is closed.
-func (k *link) waitToPass(reply bool) bool {
+// waitToPass waits until the mode lets bytes of a VM's connection pass in a direction. It returns false once the link is closed.
+func (k *link) waitToPass(caller net.Conn, reply bool) bool {
 	delayed := false
 	for {
 		k.mu.Lock()
-		m, closed := k.mode, k.closed
+		m, held, closed := k.mode, k.held[caller], k.closed
 		k.mu.Unlock()
 		switch {
 		case closed:
 			return false
-		case m == modeHold || m == modeHoldReplies && reply:
+		case held || m == modeHold || m == modeHoldReplies && reply:
 			time.Sleep(holdPoll)
 		case m == modeSlow && !delayed:
 			delayed = true
@@ -152,11 +156,11 @@
 }
 
 // copyBytes copies one direction until the source ends. It passes a half-close on and keeps the other direction open.
-func (k *link) copyBytes(w, r net.Conn, reply bool) {
+func (k *link) copyBytes(w, r, caller net.Conn, reply bool) {
 	buf := make([]byte, linkBuffer)
 	for {
 		n, err := r.Read(buf)
-		if !k.waitToPass(reply) {
+		if !k.waitToPass(caller, reply) {
 			return
 		}
 		if n > 0 {
--- a/cmd/faults/main.go
+++ b/cmd/faults/main.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -22,6 +21,7 @@
 	Time    time.Duration `long:"time" default:"20s" description:"how long faults are injected in each run"`
 	VMs     int           `long:"vms" description:"number of VMs; 3 without it"`
 	Verbose bool          `long:"verbose" description:"print each fault"`
+	Phases  []string      `long:"phase" description:"phase after the faults, silence, cut, hang, reset or refuse; may be repeated; silence and cut without it"`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -34,6 +34,9 @@
 	if o.Runs < 1 || o.Time <= 0 || o.VMs < 0 {
 		return launch.PrintError(program, launch.ExitSettings, errors.New("invalid --runs, --time or --vms; accepted: above 0"))
 	}
+	if len(o.Phases) == 0 {
+		o.Phases = []string{"silence", "cut"}
+	}
 	dir, err := os.MkdirTemp("", program)
 	if err != nil {
 		return launch.PrintError(program, launch.ExitFailure, err)
@@ -89,7 +92,7 @@
 	if err := os.Mkdir(directory, 0o700); err != nil {
 		return nil, fmt.Errorf("make directory: %w", err)
 	}
-	w, err := newTestRun(directory, gate, cmp.Or(o.VMs, defaultVMs))
+	w, err := newTestRun(directory, gate, o)
 	if err != nil {
 		return nil, err
 	}
@@ -109,6 +112,20 @@
 		}
 	}
 	err = w.injectFaults(r, o)
+	deadline := time.Now().Add(recoveryTime)
+	w.checkServing()
+	w.checkKeys()
+	w.checkRegistered(deadline)
+	err = errors.Join(err, w.runPhases(seed, o))
+	close(stop)
+	wait.Wait()
+	w.checkEnd()
+	fmt.Printf("seed %d: %v\n", seed, w.callers.counts)
+	return w.callers.violations, err
+}
+
+// checkServing records a violation if a VM does not serve again within recoveryTime.
+func (w *testRun) checkServing() {
 	deadline := time.Now().Add(recoveryTime)
 	var checks sync.WaitGroup
 	for _, v := range w.vms {
@@ -119,13 +136,6 @@
 		})
 	}
 	checks.Wait()
-	w.checkKeys()
-	w.checkRegistered(deadline)
-	close(stop)
-	wait.Wait()
-	w.checkEnd()
-	fmt.Printf("seed %d: %v\n", seed, w.callers.counts)
-	return w.callers.violations, err
 }
 
 // injectFaults injects overlapping faults for the time of the run and waits until all have ended.
--- a/cmd/faults/test_run.go
+++ b/cmd/faults/test_run.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -51,7 +52,7 @@
 	started []*plat.Replica
 }
 
-func newTestRun(directory, program string, vmCount int) (*testRun, error) {
+func newTestRun(directory, program string, o options) (*testRun, error) {
 	w := &testRun{
 		directory: directory, store: &plat.Store{}, replicas: make(map[string]*plat.Replica), links: make(map[string]*link),
 		claimed: make(map[string]bool), starts: make(map[string]int), version: 1,
@@ -74,6 +75,7 @@
 			return w, err
 		}
 	}
+	vmCount := cmp.Or(o.VMs, defaultVMs)
 	addresses, err := plat.FreeAddresses(vmCount * vmAddresses)
 	if err != nil {
 		return w, err
@@ -83,7 +85,7 @@
 		if err != nil {
 			return w, err
 		}
-		v, err := newVM(fmt.Sprintf("vm%d", i), directory, program, addresses[i*vmAddresses:(i+1)*vmAddresses], store)
+		v, err := newVM(fmt.Sprintf("vm%d", i), o.domain(i, vmCount), directory, program, addresses[i*vmAddresses:(i+1)*vmAddresses], store)
 		if err != nil {
 			return w, err
 		}
--- a/cmd/faults/vm.go
+++ b/cmd/faults/vm.go
@@ -23,6 +23,7 @@
 // vm is one gate process with its link to the store and its addresses, which stay the same across restarts.
 type vm struct {
 	name      string
+	domain    string
 	directory string
 	program   string
 	callers   string
@@ -52,10 +53,10 @@
 }
 
 // newVM starts a VM that listens on the given vmAddresses addresses.
-func newVM(name, directory, program string, addresses []string, store *link) (*vm, error) {
-	v := &vm{name: name, directory: directory, program: program, callers: addresses[0], store: store}
-	text := fmt.Sprintf("[VM]\nName = %s\nDomain = zone-a\n[Listen]\nCallers = %s\nReady = %s\nPeers = %s\n[Store]\nAddresses = %s\n[Bounds]\nRetrySlack = 600\n",
-		name, addresses[0], addresses[1], addresses[2], store.address())
+func newVM(name, domain, directory, program string, addresses []string, store *link) (*vm, error) {
+	v := &vm{name: name, domain: domain, directory: directory, program: program, callers: addresses[0], store: store}
+	text := fmt.Sprintf("[VM]\nName = %s\nDomain = %s\n[Listen]\nCallers = %s\nReady = %s\nPeers = %s\n[Store]\nAddresses = %s\n[Bounds]\nRetrySlack = 600\n",
+		name, domain, addresses[0], addresses[1], addresses[2], store.address())
 	if err := os.WriteFile(v.file("ini"), []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("write settings: %w", err)
 	}
@@ -115,6 +116,13 @@
 	return !slices.ContainsFunc(v.disturbedAt, func(at time.Time) bool { return at.After(from) && at.Before(to) })
 }
 
+// processID returns the id of the VM's process.
+func (v *vm) processID() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.command.Process.Pid
+}
+
 // unexpectedExits returns the number of times that the process ended without a signal from this program.
 func (v *vm) unexpectedExits() int {
 	v.mu.Lock()
