flow: a server's late refusal says that the request has not run

Callers of streams got 502 with the outcome Unknown although the only server had refused the request as not run: another attempt had been considered while it was silent, which marked the first one as possibly run for good.

The mark of an attempt that was neither answered with success nor delivered anything is taken back when its server refuses it or nothing was sent. The last case of flow/testdata/stream/refusal failed before (ServerLost, Unknown) and passes.

--- a/flow/retry.go
+++ b/flow/retry.go
@@ -7,6 +7,7 @@
 )
 
 func (s *Stream) onRefused(now time.Time, m Opened) []teaselstream.Cmd {
+	s.unmarkMayHaveRun()
 	fault := s.Planner.Resolve(m.Answer.Fault)
 	if fault == "" {
 		fault = s.Path[0].Server
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -139,7 +139,9 @@
 		moving            bool
 		opened            bool
 		attemptMayHaveRun bool
-		reopenAt          time.Time
+		// attemptCounted reports that the current attempt added its first server to ranOn.
+		attemptCounted bool
+		reopenAt       time.Time
 		// limitedSince is when the request first waited for a server that has named a limit.
 		limitedSince time.Time
 		// retryUncharged reports that the next attempt has yet to be charged to the retry budget.
@@ -290,17 +292,32 @@
 func (s *Stream) markMayHaveRun() {
 	if !s.attemptMayHaveRun {
 		s.attemptMayHaveRun = true
-		s.markRan(s.Path[0].Server)
+		s.attemptCounted = s.markRan(s.Path[0].Server)
 	}
 }
 
-// markRan records that an attempt may have run at a first server.
-func (s *Stream) markRan(first teaselstream.ServerID) {
+// unmarkMayHaveRun takes back that the current attempt may have run, once its server has said that it has not, or nothing was sent.
+func (s *Stream) unmarkMayHaveRun() {
+	if !s.attemptMayHaveRun || s.opened || s.attemptDelivered {
+		return
+	}
+	s.attemptMayHaveRun = false
+	s.possiblyRan--
+	s.mayHaveRun = s.possiblyRan > 0
+	if i := slices.Index(s.ranOn, s.Path[0].Server); i >= 0 && s.attemptCounted {
+		s.ranOn = slices.Delete(s.ranOn, i, i+1)
+	}
+}
+
+// markRan records that an attempt may have run at a first server, and reports whether no earlier one may have.
+func (s *Stream) markRan(first teaselstream.ServerID) bool {
 	s.mayHaveRun = true
 	s.possiblyRan++
-	if !slices.Contains(s.ranOn, first) {
-		s.ranOn = append(s.ranOn, first)
+	if slices.Contains(s.ranOn, first) {
+		return false
 	}
+	s.ranOn = append(s.ranOn, first)
+	return true
 }
 
 func (s *Stream) mayRetry() bool { return s.MayRetry(s.delivered || s.LastEvent > 0) }
@@ -368,7 +385,9 @@
 		s.done = true
 		return []teaselstream.Cmd{Finish{Complete: true}}
 	}
-	if !m.NotSent {
+	if m.NotSent {
+		s.unmarkMayHaveRun()
+	} else {
 		s.markMayHaveRun()
 	}
 	if len(s.Path) > 0 {
