flow: replace a hung attempt when it is due

Callers left streams that made no events while their servers answered probes: the check for a hung attempt ran only with the next probe, 2.4 s after the last event, and callers leave after 2 s.

The delay to the next probe no longer passes over hungTimeout. TestHungStreamIsReplacedInTime failed before (2.4 s) and passes.

--- a/flow/loss.go
+++ b/flow/loss.go
@@ -33,6 +33,10 @@
 	}
 	s.probing = true
 	s.probeDelay = time.Duration(float64(s.probeDelay) * probeDelayFactor)
+	if silent < hungTimeout && s.probeDelay > hungTimeout {
+		// Callers leave soon after hungTimeout, long before the next probe would be due.
+		s.probeDelay = hungTimeout + time.Millisecond
+	}
 	return append([]teaselstream.Cmd{Probe{s.Attempt, s.Path, silent}}, s.probeReplacement(now)...)
 }
 
--- a/flow/replace_test.go
+++ b/flow/replace_test.go
@@ -31,3 +31,29 @@
 	}
 	t.Errorf("2 s after the last event the request was sent %d times, and never to e", s.attempts)
 }
+
+// Guards against a stream whose servers answer probes but make no events, and that is opened elsewhere only after its caller has left:
+// callers disconnect after 2 s without an event.
+func TestHungStreamIsReplacedInTime(t *testing.T) {
+	p := &scriptPlanner{down: map[teaselstream.ServerID]bool{}, paths: []teaselstream.Path{pathOf("a,b"), pathOf("c,d")}}
+	s := &Stream{Options: Options{Planner: p, MaxServers: 2, Resumable: true, MayRetry: func(bool) bool { return true }}}
+	start := time.Unix(1000, 0)
+	s.Update(start, Start{})
+	s.Update(start, Opened{Attempt: 1, Status: 200})
+	s.Update(start, Event{Attempt: 1, ID: 1})
+	for now := start; now.Sub(start) < 2*hungTimeout; {
+		now = s.NextTick()
+		for _, c := range s.Update(now, teaselstream.Tick{}) {
+			switch c.(type) {
+			case Probe:
+				s.Update(now.Add(5*time.Millisecond), Probed{Attempt: 1})
+			case Open:
+				if waited := now.Sub(start); waited > hungTimeout+100*time.Millisecond {
+					t.Errorf("the request was opened elsewhere after %s, want %s", waited, hungTimeout)
+				}
+				return
+			}
+		}
+	}
+	t.Error("the request was not opened elsewhere")
+}
