relay: go on with a silent attempt if no other one is possible

Before the first token the retry budget was asked after the cancel, so that "no" ended the request.

The attempt is now kept if no chain without the suspected servers exists, if the attempts in a row are used up, or if the retry budget allows no other one. It is probed and checked again each StallTimeout, which ends RouteTimeout after the stall limit. Then the request ends with NoRoute, or as before if the budget or the attempts are used up; if all servers answer probes, the same chain is started again. The health checks get one report for each pause, as before.

The scripts in testdata are unchanged.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -25,6 +26,7 @@
 	r.sentAttempts++
 	r.sequence, r.received, r.lastProgress = 0, 0, now
 	r.probed, r.silent, r.heldFrames = false, nil, nil
+	r.nextStallCheck = time.Time{}
 	q := r.config.Request
 	q.Attempt, q.Chain, q.Emitted = r.attempt, p.Chain, slices.Clone(r.emitted)
 	r.command(OpenStream{Request: q, Plan: p})
@@ -75,25 +77,40 @@
 // replaceServers reports the given servers and starts the next attempt without them, unless the attempts or the
 // retry budget are used up.
 func (r *Relay) replaceServers(now time.Time, bad []teaselstream.ServerID, e Event) {
-	if r.avoid == nil {
-		r.avoid = make(map[teaselstream.ServerID]bool)
-	}
-	for _, s := range bad {
-		r.avoid[s] = true
-		r.command(ReportServer{Server: s, Event: e})
-	}
+	r.avoidServers(bad)
+	r.reportServers(bad, e)
 	if r.attemptsWithoutToken++; r.attemptsWithoutToken >= r.config.MaxAttempts {
 		// Only attempts in a row that failed without a new token are counted.
 		r.finishWithError(teaselstream.CodeServerLost, "too many attempts were lost", time.Second)
 		return
 	}
-	if len(r.emitted) == 0 && r.config.MayRetry != nil && !r.config.MayRetry(now) {
+	if !r.mayRetry(now) {
 		r.finishWithError(teaselstream.CodeServerLost, "a server was lost and the retry budget is spent", time.Second)
 		return
 	}
 	r.openAttempt(now, r.remainingHops(bad))
 }
 
+func (r *Relay) avoidServers(bad []teaselstream.ServerID) {
+	if r.avoid == nil {
+		r.avoid = make(map[teaselstream.ServerID]bool)
+	}
+	for _, s := range bad {
+		r.avoid[s] = true
+	}
+}
+
+func (r *Relay) reportServers(bad []teaselstream.ServerID, e Event) {
+	for _, s := range bad {
+		r.command(ReportServer{Server: s, Event: e})
+	}
+}
+
+// mayRetry reports whether the retry budget allows another attempt, and charges it before the first token.
+func (r *Relay) mayRetry(now time.Time) bool {
+	return len(r.emitted) > 0 || r.config.MayRetry == nil || r.config.MayRetry(now)
+}
+
 // remainingHops returns the hops of the current chain that do not run on the given servers.
 func (r *Relay) remainingHops(bad []teaselstream.ServerID) []teaselstream.Hop {
 	var remainingHops []teaselstream.Hop
@@ -151,30 +168,71 @@
 	return errors.As(err, &t) && t.Timeout()
 }
 
-// checkStall probes the chain shortly before the stall limit. At the limit it replaces the servers that did not
-// answer the probe or, if all did, each server that has a substitute.
+// checkStall probes the chain shortly before the stall limit, and handles the stall at the limit.
 func (r *Relay) checkStall(now time.Time) {
 	limit := r.config.StallTimeout
 	if r.received == 0 {
 		// Before the first token the engine queues and prefills, which may take twice the planned time.
 		limit += 2 * r.plan.FirstToken
 	}
-	quiet := now.Sub(r.lastProgress)
-	if quiet >= limit {
-		r.cancelAttempt()
-		if len(r.silent) > 0 {
-			r.replaceServers(now, r.silent, Stalled)
-			return
-		}
-		r.replaceServers(now, r.substitutableServers(now), Unexplained)
+	limitAt := r.lastProgress.Add(limit)
+	checkAt := limitAt
+	if r.nextStallCheck.After(checkAt) {
+		checkAt = r.nextStallCheck
+	}
+	if !now.Before(checkAt) {
+		r.handleStall(now, now.Sub(limitAt))
 		return
 	}
-	if !r.probed && quiet >= limit-time.Duration((1-probeFraction)*float64(r.config.StallTimeout)) {
+	if !r.probed && !now.Before(checkAt.Add(-time.Duration((1-probeFraction)*float64(r.config.StallTimeout)))) {
 		r.probed = true
 		r.command(ProbeChain{Attempt: r.attempt, Chain: r.plan.Chain})
 	}
 }
 
+// handleStall replaces the servers that did not answer the probe or, if all did, each server that has a substitute. The argument
+// overdue is the time since the stall limit.
+//
+// A sound server may pause for longer than the limit. If no other attempt is possible now, the attempt goes on and is checked again, for
+// as long as a request without an attempt would wait for a chain.
+func (r *Relay) handleStall(now time.Time, overdue time.Duration) {
+	if overdue >= retryLostAfter {
+		clear(r.avoid)
+	}
+	avoid := maps.Clone(r.avoid)
+	bad, event := r.silent, Stalled
+	if len(bad) == 0 {
+		bad, event = r.substitutableServers(now), Unexplained
+	}
+	r.avoidServers(bad)
+	_, hasChain := r.planChain(now, nil)
+	switch {
+	case len(bad) > 0 && hasChain && r.attemptsWithoutToken+1 < r.config.MaxAttempts && r.mayRetry(now):
+		r.cancelAttempt()
+		r.attemptsWithoutToken++
+		r.reportServers(bad, event)
+		r.openAttempt(now, r.remainingHops(bad))
+	case overdue < r.config.RouteTimeout:
+		r.avoid = avoid
+		r.keepStalled(now, bad, event)
+	case !hasChain:
+		r.finishWithError(teaselstream.CodeNoRoute, "no chain of servers covers the model", time.Second)
+	default:
+		r.cancelAttempt()
+		r.replaceServers(now, bad, event)
+	}
+}
+
+// keepStalled goes on with an attempt that has stalled, and probes its chain again before the next check.
+func (r *Relay) keepStalled(now time.Time, bad []teaselstream.ServerID, e Event) {
+	if r.nextStallCheck.Before(r.lastProgress) {
+		// One report for each pause: the health checks need it although the attempt goes on.
+		r.reportServers(bad, e)
+	}
+	r.probed, r.silent = false, nil
+	r.nextStallCheck = now.Add(r.config.StallTimeout)
+}
+
 // substitutableServers returns the servers of the current chain that have a substitute, and avoids them from now on.
 func (r *Relay) substitutableServers(now time.Time) []teaselstream.ServerID {
 	if r.avoid == nil {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -65,7 +65,9 @@
 		lastProgress time.Time
 		probed       bool
 		silent       []teaselstream.ServerID
-		heldFrames   []teaselstream.Msg
+		// nextStallCheck is when an attempt that goes on although it has stalled is checked again; zero means that it has not stalled.
+		nextStallCheck time.Time
+		heldFrames     []teaselstream.Msg
 		// waitingSince is when the wait for a chain began; zero means that there is none.
 		waitingSince time.Time
 		exports      map[teaselstream.ServerID]*export
--- /dev/null
+++ b/relay/silence_test.go
@@ -0,0 +1,111 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+)
+
+// runningRelay returns a relay whose stream has emitted one token on chain "a" of one server and then is silent. Plan offers server
+// b besides if substitute is set.
+func runningRelay(t *testing.T, substitute bool) (*Relay, time.Time) {
+	t.Helper()
+	now := time.Unix(1000, 0)
+	r := New(Config{
+		Request: teaselstream.StreamRequest{Request: "r", Model: "m", MaxTokens: 9}, Layers: 4,
+		Plan: func(_ time.Time, q teaselstream.PlanRequest) (teaselstream.Plan, bool) {
+			for _, s := range []teaselstream.ServerID{"a", "b"} {
+				if !q.Avoid[s] && (s == "a" || substitute) {
+					return teaselstream.Plan{Chain: []teaselstream.Hop{{Server: s, Address: string(s), To: 4}}}, true
+				}
+			}
+			return teaselstream.Plan{}, false
+		},
+	})
+	r.Update(now, Start{})
+	e := &teaselstream.TokenEvent{Request: "r", Attempt: 1, Sequence: 1, Text: "x", Receipts: []teaselstream.Receipt{{Server: "a", To: 4}}}
+	if len(r.Update(now, e)) == 0 || len(r.Emitted()) != 1 {
+		t.Fatal("the first token was not emitted")
+	}
+	return r, now
+}
+
+// Guards against a stream whose attempt is canceled because its server is silent for a second, before another server has taken it.
+func TestSilentServerKeepsStream(t *testing.T) {
+	for _, x := range []struct {
+		name       string
+		substitute bool
+		silent     []teaselstream.ServerID
+	}{
+		{"alone-probe-fails", false, []teaselstream.ServerID{"a"}},
+		{"alone-probe-answered", false, nil},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			r, now := runningRelay(t, x.substitute)
+			r.Update(now.Add(750*time.Millisecond), teaselstream.Tick{})
+			r.Update(now.Add(950*time.Millisecond), ProbeResult{Attempt: 1, Silent: x.silent})
+			for _, c := range r.Update(now.Add(1010*time.Millisecond), teaselstream.Tick{}) {
+				if c, ok := c.(CancelStream); ok {
+					t.Errorf("attempt %d is canceled, and no other server has taken the request", c.Attempt)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a request that ends before its first token because its server is silent and the retry budget is spent, although the
+// server goes on.
+func TestSpentBudgetKeepsSilentAttempt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	asked := 0
+	r := New(Config{
+		Request: teaselstream.StreamRequest{Request: "r", Model: "m", MaxTokens: 9}, Layers: 4,
+		Plan: func(_ time.Time, q teaselstream.PlanRequest) (teaselstream.Plan, bool) {
+			s := teaselstream.ServerID("a")
+			if q.Avoid[s] {
+				s = "b"
+			}
+			return teaselstream.Plan{Chain: []teaselstream.Hop{{Server: s, Address: string(s), To: 4}}}, true
+		},
+		MayRetry: func(time.Time) bool { asked++; return false },
+	})
+	r.Update(now, Start{})
+	for range 25 {
+		now = now.Add(100 * time.Millisecond)
+		for _, c := range r.Update(now, teaselstream.Tick{}) {
+			switch c := c.(type) {
+			case CancelStream, Finish:
+				t.Fatalf("%T %v after the start", c, now.Sub(time.Unix(1000, 0)))
+			case ProbeChain:
+				r.Update(now, ProbeResult{Attempt: 1, Silent: []teaselstream.ServerID{"a"}})
+			}
+		}
+	}
+	if asked != 2 {
+		t.Errorf("the budget was asked %d times in 2.5 s, want once for each of 2 stall checks", asked)
+	}
+	e := &teaselstream.TokenEvent{Request: "r", Attempt: 1, Sequence: 1, Text: "x", Receipts: []teaselstream.Receipt{{Server: "a", To: 4}}}
+	if r.Update(now, e); len(r.Emitted()) != 1 {
+		t.Error("the token of the running server was not delivered")
+	}
+}
+
+// Guards against a request that waits for ever for a server that ended without a word and has no substitute.
+func TestDeadServerWithoutSubstituteEndsStream(t *testing.T) {
+	r, start := runningRelay(t, false)
+	for now := start; now.Sub(start) < 15*time.Second; now = now.Add(100 * time.Millisecond) {
+		for _, c := range r.Update(now, teaselstream.Tick{}) {
+			switch c := c.(type) {
+			case ProbeChain:
+				r.Update(now, ProbeResult{Attempt: c.Attempt, Silent: []teaselstream.ServerID{"a"}})
+			case Finish:
+				if d := now.Sub(start); c.Code != teaselstream.CodeNoRoute || d < 6*time.Second || d > 7500*time.Millisecond {
+					t.Errorf("ended %v after the last token: %s %s; want %s after 6 to 7.5 s", d, c.Code, c.Message, teaselstream.CodeNoRoute)
+				}
+				return
+			}
+		}
+	}
+	t.Error("the request had not ended after 15 s")
+}
