relay: forget the result of a probe after a sign of life

After a keep-alive the chain was not probed again at all.

A sign of life now clears the result, allows a new probe, and makes a result that is still on its way count for nothing.

TestProgressClearsSilence fails on the code before in its three cases (the server is reported as Stalled; after the keep-alive no probe follows) and passes now. The scripts in testdata are unchanged.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -162,7 +162,7 @@
 		r.handleStreamFailed(now, m)
 	case KeepAlive:
 		if r.state == streaming && m.Attempt == r.attempt {
-			r.lastProgress = now
+			r.noteProgress(now)
 		}
 	case teaselstream.Tick:
 		r.handleTick(now)
@@ -171,7 +171,8 @@
 	case ServerLeaving:
 		r.handleLeaving(now, m.Server)
 	case ProbeResult:
-		if m.Attempt == r.attempt {
+		// A result that comes after a sign of life is older than that.
+		if m.Attempt == r.attempt && r.probed {
 			r.silent = m.Silent
 		}
 	default:
@@ -219,4 +220,10 @@
 	}
 }
 
+// noteProgress records a sign of life of the current attempt, which makes the result of an earlier probe worthless.
+func (r *Relay) noteProgress(now time.Time) {
+	r.lastProgress = now
+	r.probed, r.silent = false, nil
+}
+
 func (r *Relay) command(c teaselstream.Cmd) { r.cmds = append(r.cmds, c) }
--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -109,3 +109,44 @@
 	}
 	t.Error("the request had not ended after 15 s")
 }
+
+// Guards against a server that is replaced because it did not answer a probe before its last sign of life.
+func TestProgressClearsSilence(t *testing.T) {
+	for _, name := range []string{"keep-alive", "token", "token-before-result"} {
+		t.Run(name, func(t *testing.T) {
+			r, now := runningRelay(t, true)
+			r.Update(now.Add(750*time.Millisecond), teaselstream.Tick{})
+			result := ProbeResult{Attempt: 1, Silent: []teaselstream.ServerID{"a"}}
+			now = now.Add(950 * time.Millisecond)
+			if name != "token-before-result" {
+				r.Update(now, result)
+			}
+			m := teaselstream.Msg(KeepAlive{Attempt: 1})
+			if name != "keep-alive" {
+				m = &teaselstream.TokenEvent{
+					Request: "r", Attempt: 1, Sequence: 2, Index: 1, Text: "y", Receipts: []teaselstream.Receipt{{Server: "a", To: 4}},
+				}
+			}
+			r.Update(now, m)
+			if name == "token-before-result" {
+				r.Update(now, result)
+			}
+			probed := false
+			for i := range 11 {
+				for _, c := range r.Update(now.Add(time.Duration(i)*100*time.Millisecond), teaselstream.Tick{}) {
+					switch c := c.(type) {
+					case ProbeChain:
+						probed = true
+					case ReportServer:
+						if c.Event == Stalled {
+							t.Errorf("%s is reported as %s, and no probe since its last sign of life has failed", c.Server, c.Event)
+						}
+					}
+				}
+			}
+			if !probed {
+				t.Error("the chain is not probed again")
+			}
+		})
+	}
+}
--- a/relay/token.go
+++ b/relay/token.go
@@ -41,7 +41,7 @@
 	if !r.config.Faults.Has(invar.IgnoreAttempt) && e.Index != next {
 		if e.Index < next {
 			r.counts.Duplicate++
-			r.lastProgress = now
+			r.noteProgress(now)
 			return
 		}
 		r.replaceServer(now, r.headServer(), BadOrder)
@@ -55,8 +55,7 @@
 		r.finishWithError(teaselstream.CodeInternal, "an invariant was violated", 0)
 		return
 	}
-	r.lastProgress = now
-	r.probed = false
+	r.noteProgress(now)
 	r.received++
 	r.attemptsWithoutToken = 0
 	r.emitted = append(r.emitted, e.Text)
