--- a/cmd/gate/isolated_test.go
+++ b/cmd/gate/isolated_test.go
@@ -67,7 +67,7 @@
 		{"RefuseMost", plat.CutRefuses, []int{0, 1, 2, 3}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			l := startLoadIn(t, gates, domainOf, nil)
+			l := startLoadWith(t, gates, func(s *testPlatform) { s.domainOf = domainOf })
 			s := l.platform
 			var cutOff, others []string
 			for i, a := range s.gateAddresses {
