--- a/cmd/faults/vm.go
+++ b/cmd/faults/vm.go
@@ -41,7 +41,7 @@
 }
 
 // vmAddresses is the number of addresses on which a VM listens.
-const vmAddresses = 3
+const vmAddresses = 4
 
 // lastLines returns the last logTailBytes of the VM's log.
 func (v *vm) lastLines() string {
@@ -55,8 +55,8 @@
 // newVM starts a VM that listens on the given vmAddresses addresses.
 func newVM(name, domain, directory, program string, addresses []string, store *link) (*vm, error) {
 	v := &vm{name: name, domain: domain, directory: directory, program: program, callers: addresses[0], store: store}
-	text := fmt.Sprintf("[VM]\nName = %s\nDomain = %s\n[Listen]\nCallers = %s\nReady = %s\nPeers = %s\n[Store]\nAddresses = %s\n[Bounds]\nRetrySlack = 600\n",
-		name, domain, addresses[0], addresses[1], addresses[2], store.address())
+	text := fmt.Sprintf("[VM]\nName = %s\nDomain = %s\n[Listen]\nCallers = %s\nReady = %s\nPeers = %s\nRelay = %s\n[Store]\nAddresses = %s\n[Bounds]\nRetrySlack = 600\n",
+		name, domain, addresses[0], addresses[1], addresses[2], addresses[3], store.address())
 	if err := os.WriteFile(v.file("ini"), []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("write settings: %w", err)
 	}
