--- a/proxy/dial.go
+++ b/proxy/dial.go
@@ -43,6 +43,7 @@
 		// DialServer has reported the failure.
 		return
 	}
+	// The connection carries nothing, so an error of its close does not matter.
 	_ = c.Close()
 }
 
