review: case 5, VMs whose connections to all replicas are reset

Claim: machines of a zone that are partitioned from all replicas, with connections that are reset once they have come about, serve nothing (RECOVER).

--- a/review/5/main.go
+++ b/review/5/main.go
@@ -1,14 +1,12 @@
 //go:build review
 
-// The program of case 5: sound model replicas fall silent for about a second, one after the other, and go on.
+// The program of case 5: the machines of one zone are partitioned from all replicas, whose connections from there are reset.
 package main
 
 import (
 	"fmt"
 	"net/http"
 	"os"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -17,15 +15,13 @@
 
 const (
 	gates = 7
-	// maxAttempts is the MaxAttempts of the route of streams.
-	maxAttempts = 2
-	// maxOver is how many requests may run on more replicas than that.
-	maxOver = 3
-	// tokens gives streams of 100 events, 60 ms apart.
-	tokens  = 300
-	pause   = 60 * time.Millisecond
-	period  = 80 * time.Millisecond
-	silence = 1100 * time.Millisecond
+	// contactTime is the platform's ContactMs, from which after the beginning of a partition requests count.
+	contactTime = 3 * time.Second
+	cutTime     = 6 * time.Second
+	sick        = "zone-b"
+	// maxFailed and one in failedShare of all is how many first tries may fail at the machines that are cut off.
+	maxFailed   = 10
+	failedShare = 50
 )
 
 func main() {
@@ -40,19 +36,11 @@
 	if err != nil {
 		return 2, err
 	}
-	var mu sync.Mutex
-	// ranOn holds the replicas on which each request has begun to run, in order.
-	ranOn := make(map[string][]string)
 	var replicas []*rig.Replica
-	for i := range 3 {
-		o := rig.ReplicaOptions{ID: fmt.Sprintf("i-%04x", 0x3b20+i), Zone: fmt.Sprintf("zone-%c", 'a'+i), Service: rig.ModelService, Pause: pause}
-		o.Ran = func(r *rig.Replica, q *http.Request, _ []byte) {
-			mu.Lock()
-			defer mu.Unlock()
-			id := q.Header.Get("X-Attempt-Id")
-			if !slices.Contains(ranOn[id], r.ID) {
-				ranOn[id] = append(ranOn[id], r.ID)
-			}
+	for i := range 9 {
+		o := rig.ReplicaOptions{ID: fmt.Sprintf("i-%04x", 0x2e50+i), Zone: fmt.Sprintf("zone-%c", 'a'+i%3), Service: rig.ModelService, Pause: 30 * time.Millisecond, Linked: true}
+		if i >= 6 {
+			o.Service = rig.PlainService
 		}
 		r, err := p.AddReplica(o)
 		if err != nil {
@@ -60,54 +48,75 @@
 		}
 		replicas = append(replicas, r)
 	}
+	stream := rig.StreamRequest{Parts: []string{"5c1e07a2:40"}, Tokens: 60}
 	warm := rig.Caller{Record: record, Prefix: "start"}
 	ready := func(g *rig.Gate) bool {
-		a := warm.Stream(g, rig.StreamRequest{Parts: []string{"5c1e07a2:40"}, Tokens: 6})
-		return a.Status == http.StatusOK && a.Complete
+		a := warm.Stream(g, stream)
+		return a.Status == http.StatusOK && a.Complete && warm.Lookup(g).Status == http.StatusOK
 	}
 	if err := p.AwaitReady(40*time.Second, ready); err != nil {
 		return 2, err
 	}
-	whole, sent := 0, 0
+	var mu sync.Mutex
+	var answers []rig.Answer
 	caller := rig.Caller{Record: record, Prefix: "s"}
 	stop := make(chan struct{})
-	caller.Every(period, stop, func(n int) {
-		a := caller.Stream(p.Gates[n%gates], rig.StreamRequest{Parts: []string{"5c1e07a2:40"}, Tokens: tokens})
-		mu.Lock()
-		defer mu.Unlock()
-		sent++
-		if a.Status == http.StatusOK && a.Complete {
-			whole++
+	for _, g := range p.Gates {
+		keep := func(a rig.Answer) {
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, a)
 		}
-	})
-	time.Sleep(12 * time.Second)
-	for _, r := range replicas[:2] {
-		if trouble {
-			record.Say("replica %s is silent for %s", r.ID, silence)
-			r.Silence(silence)
+		caller.Every(100*time.Millisecond, stop, func(int) { keep(caller.Stream(g, stream)) })
+		caller.Every(300*time.Millisecond, stop, func(int) { keep(caller.Lookup(g)) })
+	}
+	time.Sleep(10 * time.Second)
+	var far []*rig.Gate
+	for _, g := range p.Gates {
+		if g.Zone == sick {
+			far = append(far, g)
+		}
+	}
+	// HANG=1 holds the connections in place of resetting them.
+	x := rig.NewCut(os.Getenv("HANG") == "1", far...)
+	began := time.Now()
+	if trouble {
+		record.Say("the %d machines of %s are partitioned from all replicas", len(far), sick)
+		for _, r := range replicas {
+			r.Link.Begin(x)
 		}
-		time.Sleep(2 * time.Second)
 	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(cutTime)
+	ended := time.Now()
+	for _, r := range replicas {
+		r.Link.End()
+	}
+	x.Over()
+	record.Say("the partition ends after %s", ended.Sub(began).Round(time.Millisecond))
 	close(stop)
 	caller.Wait()
-	mu.Lock()
-	defer mu.Unlock()
-	over, twice := 0, 0
-	for id, list := range ranOn {
-		if len(list) > 1 {
-			twice++
+	var tried, served [2]int
+	for _, a := range answers {
+		if a.SentAt.Before(began.Add(contactTime)) || a.SentAt.After(ended) {
+			continue
+		}
+		side := 0
+		if a.Gate.Zone == sick {
+			side = 1
 		}
-		if len(list) > maxAttempts {
-			over++
-			record.Say("BUDGET: %s ran on %d replicas: %s", id, len(list), strings.Join(list, ", "))
+		tried[side]++
+		if a.Status == http.StatusOK && a.Complete {
+			served[side]++
 		}
 	}
-	record.Say("%d of %d streams whole; %d ran on more than one replica, %d on more than MaxAttempts = %d; %d of these are allowed", whole, sent, twice, over, maxAttempts, maxOver)
-	if whole == 0 {
-		return 2, fmt.Errorf("no stream was served")
+	record.Say("from %s after the beginning: %d of %d first tries served at the machines of %s, %d of %d at the others", contactTime, served[1], tried[1], sick, served[0], tried[0])
+	if served[0] == 0 || tried[1] == 0 {
+		return 2, fmt.Errorf("nothing was served")
 	}
-	if over > maxOver {
+	// Two thirds, without a division.
+	worse := 3*served[1]*tried[0] < 2*served[0]*tried[1]
+	if worse && tried[1]-served[1] > maxFailed+tried[1]/failedShare {
+		record.Say("RECOVER: less than two thirds as often")
 		return 1, nil
 	}
 	return 0, nil
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -31,6 +31,8 @@
 		ID      string
 		Zone    string
 		Service string
+		// Linked puts a proxy in front of the replica, at the address that the store lists.
+		Linked bool
 		// Store is the address of the platform's store.
 		Store string
 		// Pause is the time between two events of a stream.
@@ -50,7 +52,10 @@
 	// Replica is one lifetime of a backend server of the model or plain service.
 	Replica struct {
 		ReplicaOptions
+		// Address is the address that the store lists.
 		Address string
+		// Link is the proxy in front of the replica, or nil.
+		Link *Link
 
 		born     int64
 		listener net.Listener
@@ -79,6 +84,12 @@
 		return nil, fmt.Errorf("listen for replica %s: %w", o.ID, err)
 	}
 	r := &Replica{ReplicaOptions: o, Address: l.Addr().String(), born: time.Now().UnixMilli(), listener: l}
+	if o.Linked {
+		if r.Link, err = NewLink(r.Address); err != nil {
+			return nil, err
+		}
+		r.Address = r.Link.Address()
+	}
 	r.server = &http.Server{Handler: r}
 	go func() { _ = r.server.Serve(silentListener{l, r}) }()
 	if err := r.writeEntry(); err != nil {
