--- a/review/5/main.go
+++ b/review/5/main.go
@@ -25,7 +25,7 @@
 )
 
 func main() {
-	os.Exit(rig.Main("5", run))
+	os.Exit(rig.Main(run))
 }
 
 func run(record *rig.Record, trouble bool) (int, error) {
