reach: the first byte of an answer shows that a server is reached

Cause: package reach took a connection that comes about for a server that is reached, so each dial cleared all failures. Probes only dialed and closed, and a VM whose servers were all marked down had none left to probe.

Change: connections to servers report the first byte of an answer, or that they ended or stayed silent before it. Probes send a request that needs no free slot and wait for the first byte. Connections that do not come about count at once, as before.

--- a/cmd/gate/control.go
+++ b/cmd/gate/control.go
@@ -128,7 +128,7 @@
 		c.execute(ctx, c.tracker.Update(now, m))
 	case quota.Named, quota.ReportRead:
 		c.execute(ctx, c.quotas.Update(now, m))
-	case reach.Connected, reach.Failed:
+	case reach.Answered, reach.Failed:
 		c.execute(ctx, c.reach.Update(now, m))
 	case fleet.PeersListed:
 		c.execute(ctx, c.core.Update(now, m))
--- a/cmd/gate/isolated.go
+++ b/cmd/gate/isolated.go
@@ -45,7 +45,7 @@
 	return l
 }
 
-// probeServers connects to servers.
+// probeServers sends a request to servers on new connections.
 func (c *controlLoop) probeServers(x reach.Probe) {
 	for _, a := range x.Addresses {
 		go c.handler.ProbeServer(a)
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -15,6 +15,7 @@
 
 	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/fleet"
+	"github.com/teaselstream/teaselstream/reach"
 )
 
 const (
@@ -79,6 +80,9 @@
 	if err != nil {
 		stop()
 		u.discard()
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			h.postFailed(to.Address, reach.Silent)
+		}
 		return nil, err
 	}
 	a.detach = stop
--- a/proxy/dial.go
+++ b/proxy/dial.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/fleet"
 	"github.com/teaselstream/teaselstream/reach"
 )
 
@@ -17,25 +20,48 @@
 	return h.DialServer(ctx, network, address)
 }
 
-// DialServer connects to a server and reports the result to the control loop, which decides from it whether this VM reaches servers.
+// DialServer connects to a server. The control loop gets the failure, or what the connection shows later, and decides from it whether
+// this VM reaches servers.
 func (h *Handler) DialServer(ctx context.Context, network, address string) (net.Conn, error) {
 	dial := h.Dial
 	if dial == nil {
 		dial = (&net.Dialer{KeepAlive: -1}).DialContext
 	}
 	c, err := dial(ctx, network, address)
-	switch {
-	case h.Post == nil:
-	case err == nil:
-		h.Post(reach.Connected{Address: address})
-	case !errors.Is(ctx.Err(), context.Canceled):
-		h.Post(reach.Failed{Address: address})
+	if err != nil {
+		switch {
+		case errors.Is(err, syscall.ECONNRESET):
+			// A connection that is reset at once can come about and end before the dial returns.
+			h.postFailed(address, reach.BrokenOff)
+		case !errors.Is(ctx.Err(), context.Canceled):
+			h.postFailed(address, reach.NotConnected)
+		}
+		return nil, err
+	}
+	return &observedConn{Conn: c, handler: h, address: address, openedAt: time.Now()}, nil
+}
+
+// postFailed reports to the control loop that a connection to a server brought no answer.
+func (h *Handler) postFailed(address string, cause reach.Cause) {
+	if h.Post == nil {
+		return
+	}
+	m := reach.Failed{Address: address, Cause: cause}
+	if at := h.receivedAt.Load(); at != 0 {
+		m.ReceivedAt = time.Unix(0, at)
 	}
-	return c, err
+	h.Post(m)
 }
 
-// ProbeServer opens a connection to a server and closes it; the control loop gets the result.
+// ProbeServer sends a request that needs no free slot to a server on a new connection; the control loop gets what the connection shows.
+// A server that wants nothing from this VM now is left out.
 func (h *Handler) ProbeServer(address string) {
+	v := h.View()
+	to := v.ByAddress(address)
+	if to == nil || h.CheckWait(to.ID, to.Incarnation) != nil {
+		return
+	}
+	q := h.probeRequest(v, to)
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	c, err := h.DialServer(ctx, "tcp", address)
@@ -43,8 +69,30 @@
 		// DialServer has reported the failure.
 		return
 	}
-	// The connection carries nothing, so an error of its close does not matter.
-	_ = c.Close()
+	u := newServerConn(c, address)
+	defer u.discard()
+	if err := u.SetReadDeadline(time.Now().Add(probeAnswerTimeout)); err != nil {
+		h.Log.Info("ProbeFailed", "server", string(to.ID), "error", err.Error())
+		return
+	}
+	a, err := h.roundTrip(u, q, "")
+	if err != nil {
+		h.Log.Info("ProbeFailed", "server", string(to.ID), "error", err.Error())
+		return
+	}
+	h.observeNotice(to, a.head, "")
+}
+
+// probeRequest returns the request with which a server is probed.
+func (h *Handler) probeRequest(v *fleet.View, to *fleet.Member) *outgoingRequest {
+	var pool *teaselstream.Pool
+	if v.Routing != nil {
+		pool = v.Routing.Pools[to.Service]
+	}
+	q := &outgoingRequest{method: http.MethodGet, target: h.Dialect.ProbeTarget(pool), host: to.Address, header: make(http.Header)}
+	h.Dialect.Dispatch(q.header, teaselstream.Dispatch{Server: to.ID})
+	q.header.Set("Connection", "close")
+	return q
 }
 
 // CloseIdleToServers closes idle connections to servers, which must not be believed once new ones fail.
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -51,10 +51,12 @@
 		// Notices holds what servers have said about themselves.
 		Notices notice.Notices
 
-		pool            Pool
-		prober          prober
-		endings         endings
-		carried         atomic.Int64
+		pool    Pool
+		prober  prober
+		endings endings
+		carried atomic.Int64
+		// receivedAt is when the last byte arrived from a server, in Unix nanoseconds, or 0.
+		receivedAt      atomic.Int64
 		streamDurations streamDurations
 		durations       routeDurations
 		stopping        stopState
--- a/proxy/prober.go
+++ b/proxy/prober.go
@@ -11,12 +11,14 @@
 	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/detour"
 	"github.com/teaselstream/teaselstream/fleet"
-	"github.com/teaselstream/teaselstream/reach"
 )
 
 const (
 	// probeTimeout limits the wait for a server's report, which needs no free slot and takes some milliseconds.
 	probeTimeout = 90 * time.Millisecond
+	// probeAnswerTimeout limits the wait for the first byte of the answer to a probe on a new connection, after the connection has come
+	// about. A packet that is lost is sent again after 200 ms.
+	probeAnswerTimeout = 200 * time.Millisecond
 	// probeReuse is how long a probe's result is reused for other streams.
 	probeReuse = 100 * time.Millisecond
 )
@@ -86,9 +88,6 @@
 			return report, fmt.Errorf("read report: %w: %w", ErrWithheld, err)
 		}
 	}
-	if !h.Detour.Active() {
-		h.Post(reach.Failed{Address: address})
-	}
 	h.Post(fleet.Unreachable{Server: id, Incarnation: incarnation, Ended: errors.Is(err, syscall.ECONNREFUSED), Reason: err.Error()})
 	return report, err
 }
--- a/proxy/upstream_test.go
+++ b/proxy/upstream_test.go
@@ -23,6 +23,8 @@
 	return teaselstream.CallHead{}, nil
 }
 func (testDialect) Dispatch(http.Header, teaselstream.Dispatch) {}
+
+func (testDialect) ProbeTarget(*teaselstream.Pool) string { return "/report" }
 func (testDialect) Answer(_ int, h http.Header) teaselstream.AnswerHead {
 	return teaselstream.AnswerHead{Attempt: teaselstream.AttemptID(h.Get("Attempt"))}
 }
--- a/reach/tracker_test.go
+++ b/reach/tracker_test.go
@@ -12,8 +12,9 @@
 	"github.com/teaselstream/teaselstream/fleet"
 )
 
-// Guards against VMs that go on without their own connections because single servers, or those of one domain, are down; against a
-// cut that is not noticed, or whose end is not; and against probes without need.
+// Guards against VMs that go on without their own connections because single servers, or those of one domain, are down, or because sound
+// servers are silent for a second or overloaded; against a cut that is not noticed, or whose end is not, although connections come
+// about; and against probes without need.
 func TestTrackerScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
@@ -29,10 +30,13 @@
 type script struct {
 	tracker Tracker
 	ms      int
-	out     []string
+	// receivedAt is when the last byte arrived from any server.
+	receivedAt time.Time
+	out        []string
 }
 
-// line applies "servers ADDRESS/DOMAIN[/down]...", or "MS connected|failed ADDRESS..." or "MS tick".
+// line applies "servers ADDRESS/DOMAIN[/down]...", "MS received", "MS answered ADDRESS[/OPENED]...", where OPENED defaults to MS,
+// "MS refused|reset|silent ADDRESS..." or "MS tick".
 func (s *script) line(t *testing.T, w []string) {
 	if w[0] == "servers" {
 		v := &fleet.View{Members: make(map[teaselstream.ServerID]*fleet.Member)}
@@ -50,32 +54,47 @@
 	if _, err := fmt.Sscan(w[0], &s.ms); err != nil {
 		t.Fatal(err)
 	}
-	if w[1] == "tick" {
+	switch w[1] {
+	case "tick":
 		s.send(teaselstream.Tick{})
 		return
+	case "received":
+		s.receivedAt = at(s.ms)
+		return
 	}
+	causes := map[string]Cause{"refused": NotConnected, "reset": BrokenOff, "silent": Silent}
 	for _, a := range w[2:] {
-		switch w[1] {
-		case "connected":
-			s.send(Connected{a})
-		case "failed":
-			s.send(Failed{a})
+		cause, failed := causes[w[1]]
+		switch {
+		case failed:
+			s.send(Failed{a, cause, s.receivedAt})
+		case w[1] == "answered":
+			opened := s.ms
+			address, text, ok := strings.Cut(a, "/")
+			if ok {
+				if _, err := fmt.Sscan(text, &opened); err != nil {
+					t.Fatal(err)
+				}
+			}
+			s.send(Answered{address, at(opened)})
 		default:
 			t.Fatalf("unknown line %q", w)
 		}
 	}
 }
 
+// at returns the time of a script's milliseconds.
+func at(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+
 func (s *script) send(m teaselstream.Msg) {
-	start := time.Unix(1000, 0)
-	for _, c := range s.tracker.Update(start.Add(time.Duration(s.ms)*time.Millisecond), m) {
+	for _, c := range s.tracker.Update(at(s.ms), m) {
 		switch c := c.(type) {
 		case Probe:
 			s.out = append(s.out, fmt.Sprintf("%d probe %s", s.ms, strings.Join(c.Addresses, " ")))
 		case SetIsolated:
 			line := fmt.Sprintf("%d isolated %t, %d servers", s.ms, c.Isolated, c.Servers)
 			if c.Isolated {
-				line += fmt.Sprintf(", since %d", c.Since.Sub(start).Milliseconds())
+				line += fmt.Sprintf(", since %d", c.Since.Sub(at(0)).Milliseconds())
 			}
 			s.out = append(s.out, line)
 		}
--- a/replica.go
+++ b/replica.go
@@ -160,6 +160,9 @@
 		Call(h http.Header) (CallHead, error)
 		// Dispatch changes the caller's headers into those for a replica.
 		Dispatch(h http.Header, d Dispatch)
+		// ProbeTarget returns the target of a GET request that any server of a pool answers, at once as far as the platform has such
+		// a request. The pool is nil if it is not configured.
+		ProbeTarget(p *Pool) string
 		Answer(status int, h http.Header) AnswerHead
 		// Refusal sets the headers of the router's own answer to a caller.
 		Refusal(h http.Header, a AttemptID, retryAfter time.Duration)
--- a/sock/idle.go
+++ b/sock/idle.go
@@ -1,6 +1,7 @@
 package sock
 
 import (
+	"errors"
 	"net"
 	"syscall"
 )
@@ -12,6 +13,9 @@
 		return true
 	}
 	raw, err := s.SyscallConn()
+	if errors.Is(err, errors.ErrUnsupported) {
+		return true
+	}
 	if err != nil {
 		return false
 	}
