proxy: a budget for the bytes of all answers and bodies that are held

Cause: up to 8 MB of each answer were kept, in a buffer that grows by copies, and nothing bounded the sum. A success without the server's stamp was read to its end, and a server that had answered so got as many requests as before.

Change: package memory bounds the sum of answers and of bodies of requests, an eighth of the process's memory each, and ends the largest that is still being read. An answer of a model that is no stream may have 1 MB, a report 256 KB. A success without a stamp ends at its head. A server that sends no valid answer is paused for a second. The garbage collector gets three quarters of the memory as its limit.

--- a/cmd/gate/serve.go
+++ b/cmd/gate/serve.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -20,6 +21,7 @@
 	"github.com/teaselstream/teaselstream/detour"
 	"github.com/teaselstream/teaselstream/fleet"
 	"github.com/teaselstream/teaselstream/hconn"
+	"github.com/teaselstream/teaselstream/memory"
 	"github.com/teaselstream/teaselstream/meter"
 	"github.com/teaselstream/teaselstream/pick"
 	"github.com/teaselstream/teaselstream/platform"
@@ -37,6 +39,14 @@
 	budgetFraction = 0.85
 	// minBudgetVMs is the least number of VMs by which the budget is divided, since after a start few have registered.
 	minBudgetVMs = 6
+	// messageShare is the fraction of the process's memory that servers' answers may take, and that the bodies of requests may take. The
+	// garbage collector needs about twice that, and buffers grow by copies.
+	messageShare = 8
+	// heapShare is the fraction of the process's memory from which on the garbage collector runs more often; the rest is for what the
+	// platform counts beyond the heap, such as received bytes that have not been read.
+	heapShare = 0.75
+	// maxReportBytes limits the answer to a report or an order, which lists stalled requests at most.
+	maxReportBytes = 256 << 10
 	// headerTimeout limits reading the header of a readiness or metrics request.
 	headerTimeout = 2 * time.Second
 )
@@ -53,7 +63,9 @@
 	handler     *proxy.Handler
 	server      *proxy.Server
 	// relay serves exchanges of other VMs with servers.
-	relay    *proxy.Server
+	relay *proxy.Server
+	// bodies bounds the bytes of requests' bodies.
+	bodies   memory.Budget
 	meter    *meter.Meter
 	stopping atomic.Bool
 	dial     sock.DialFunc
@@ -124,7 +136,7 @@
 		Quarantine: p.controlLoop.quarantine.Load,
 		Balancer:   &pick.Balancer{Rand: random}, Budgets: &p.budgets, Rand: random, Meter: p.meter, Log: p.log, Post: p.controlLoop.post,
 	}
-	p.handler.Replicas = &platform.Replicas{Conn: hconn.Client{Dial: p.handler.DialServer, Detour: through}}
+	p.handler.Replicas = &platform.Replicas{Conn: hconn.Client{Dial: p.handler.DialServer, Detour: through, MaxBodyBytes: maxReportBytes}}
 	p.controlLoop.handler = p.handler
 	p.controlLoop.store = p.store
 	publisher := func(prefix string) *watch.Publisher {
@@ -136,8 +148,8 @@
 		Directory: p.store, Self: fleet.Peer{Name: settings.VM.Name, Domain: settings.VM.Domain, Address: settings.Listen.Peers, Relay: settings.Listen.Relay},
 		Peers: peers, Log: p.log,
 	}
-	p.server = &proxy.Server{Serve: p.handler.Serve, Limits: p.limits, Log: p.log}
-	p.relay = &proxy.Server{Serve: p.handler.Carry, Limits: p.relayLimits, Log: p.log}
+	p.server = &proxy.Server{Serve: p.handler.Serve, Limits: p.limits, Log: p.log, Bodies: &p.bodies}
+	p.relay = &proxy.Server{Serve: p.handler.Carry, Limits: p.relayLimits, Log: p.log, Bodies: &p.bodies}
 }
 
 func (p *process) limits() teaselstream.EdgeLimits {
@@ -153,6 +165,16 @@
 	p.settings.Store(&settings)
 	p.store.SetAddress(settings.Store.Addresses[0])
 	p.shareBudget(p.controlLoop.current())
+	p.shareMemory(settings.Bounds.Memory)
+}
+
+// shareMemory divides the memory of the process, or sets the defaults if it is not known.
+func (p *process) shareMemory(n teaselstream.Bytes) {
+	p.handler.Answers.SetLimit(n / messageShare)
+	p.bodies.SetLimit(n / messageShare)
+	if n > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(n)))
+	}
 }
 
 // shareBudget sets this VM's share of the retry budget of all VMs.
--- a/config/gate.go
+++ b/config/gate.go
@@ -19,6 +19,7 @@
 	defaultRetryRatio  = 0.2
 	defaultRetryWindow = 10 * time.Second
 	defaultRetrySlack  = 100
+	bytesPerMB         = 1 << 20
 )
 
 type (
@@ -42,7 +43,7 @@
 		Relay string
 	}
 
-	// GateBounds holds the durations and the retry budget that the platform specifies.
+	// GateBounds holds the durations, the retry budget and the memory that the platform specifies.
 	GateBounds struct {
 		// DrainTime is the maximum time for which a server that leaves may still get new work.
 		DrainTime time.Duration
@@ -52,6 +53,8 @@
 		RetryRatio  float64
 		RetryWindow time.Duration
 		RetrySlack  float64
+		// Memory is the memory of the process, above which the platform ends it; 0 means that it is not known.
+		Memory teaselstream.Bytes
 	}
 )
 
@@ -96,6 +99,7 @@
 			RetryRatio:  r.number("Bounds", "RetryRatio", defaultRetryRatio),
 			RetryWindow: r.duration("Bounds", "RetryWindow", defaultRetryWindow),
 			RetrySlack:  r.number("Bounds", "RetrySlack", defaultRetrySlack),
+			Memory:      teaselstream.Bytes(r.number("Bounds", "MemoryMB", 0) * bytesPerMB),
 		},
 	}
 }
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -119,6 +119,8 @@
 		cmds = c.clearDown(m.Since)
 	case WorkRefused:
 		cmds = c.applyRefusal(now, m)
+	case AnswerInvalid:
+		cmds = c.pauseInvalid(now, m)
 	case LayersOrdered:
 		if r := c.members[m.Server]; r != nil {
 			r.Pending, c.dirty = m.Range, true
@@ -379,6 +381,17 @@
 	return []teaselstream.Cmd{ReadReport{Server: r.ID, Address: r.Address, Reason: "does not hold its range"}}
 }
 
+// pauseInvalid keeps new work from a replica that sends bytes that are no answer, as far as others take it. Each request that meets such a
+// replica costs a retry.
+func (c *Core) pauseInvalid(now time.Time, m AnswerInvalid) []teaselstream.Cmd {
+	r := c.members[m.Server]
+	if r == nil || m.Incarnation < r.Incarnation || now.Before(r.PausedUntil) {
+		return nil
+	}
+	r.PausedUntil, c.dirty = now.Add(refusalBackoff), true
+	return []teaselstream.Cmd{LogEvent{Event: "ServerPaused", Server: r.ID, Reason: "answers are not valid"}}
+}
+
 // detectCutLink marks the link between two failure domains as cut after refusals for two different servers behind it.
 func (c *Core) detectCutLink(now time.Time, r *memberRecord, m WorkRefused) (teaselstream.Cmd, bool) {
 	by := c.members[m.ReportedBy]
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -80,7 +80,7 @@
 }
 
 // message parses "listed NAME[@HEARTBEATS]...", "changed NAME [from-to] [born=N] [beat=N] [draining] [age=D]", "removed NAME [age=D]", "reported NAME from-to
-// [born=N]", "stated NAME [born=N]", "silent NAME [born=N] [ended]", "refused NAME [misplaced]", "lost", "regained", "restored", "routing N" or "tick".
+// [born=N]", "stated NAME [born=N]", "silent NAME [born=N] [ended]", "refused NAME [misplaced]", "invalid NAME [born=N]", "lost", "regained", "restored", "routing N" or "tick".
 func message(t *testing.T, f []string) teaselstream.Msg {
 	var id teaselstream.ServerID
 	if len(f) > 1 {
@@ -114,6 +114,8 @@
 			by = teaselstream.ServerID(f[2])
 		}
 		return WorkRefused{Server: id, ReportedBy: by, WrongLayers: slices.Contains(f, "misplaced")}
+	case "invalid":
+		return AnswerInvalid{Server: id, Incarnation: r.Incarnation}
 	case "lost":
 		return StoreLost{}
 	case "regained":
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -80,6 +80,12 @@
 		Wait time.Duration
 	}
 
+	// AnswerInvalid reports that a replica answered a request with bytes that are no answer, or with more than this VM can hold.
+	AnswerInvalid struct {
+		Server      teaselstream.ServerID
+		Incarnation teaselstream.Incarnation
+	}
+
 	// LayersOrdered reports that this VM has ordered a replica to load a layer range; an empty range ends the order.
 	LayersOrdered struct {
 		Server teaselstream.ServerID
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -16,7 +16,7 @@
 		State State
 		// LeavingSince is the earliest time at which the server may have begun to drain, derived from the age of its entry.
 		LeavingSince time.Time
-		// PausedUntil is the time until which the server gets no new work after it refused some.
+		// PausedUntil is the time until which the server gets no new work after it refused some or sent no valid answer.
 		PausedUntil time.Time
 		// Slowdown is the step time factor of the server's last report; over 1 means slower than nominal.
 		Slowdown float64
--- a/hconn/client.go
+++ b/hconn/client.go
@@ -36,6 +36,8 @@
 type Client struct {
 	// Dial opens connections; nil means net.Dialer. It must be set before the first call.
 	Dial sock.DialFunc
+	// MaxBodyBytes limits a response body; 0 means maxBodyBytes. It must be set before the first call.
+	MaxBodyBytes int
 	// Detour chooses the VM through which calls go while this VM reaches no server; nil sends all calls directly.
 	Detour *detour.Chooser
 
@@ -86,20 +88,24 @@
 
 func (c *Client) init() {
 	direct := sock.DialFunc((&net.Dialer{}).DialContext)
-	c.client, c.vms = newClient(direct), newClient(direct)
+	limit := c.MaxBodyBytes
+	if limit <= 0 {
+		limit = maxBodyBytes
+	}
+	c.client, c.vms = newClient(direct, limit), newClient(direct, limit)
 	if c.Dial != nil {
 		c.client.Dial = dialWith(c.Dial)
 	}
 }
 
-func newClient(dial sock.DialFunc) *fasthttp.Client {
+func newClient(dial sock.DialFunc, maxBody int) *fasthttp.Client {
 	return &fasthttp.Client{
 		Dial: dialWith(dial),
 		// By default the library repeats a call although the first attempt may have had an effect.
 		MaxIdemponentCallAttempts:     1,
 		RetryIfErr:                    neverRetry,
 		MaxConnsPerHost:               maxConnectionsPerAddress,
-		MaxResponseBodySize:           maxBodyBytes,
+		MaxResponseBodySize:           maxBody,
 		MaxIdleConnDuration:           idleTimeout,
 		NoDefaultUserAgentHeader:      true,
 		DisablePathNormalizing:        true,
--- a/hconn/client_test.go
+++ b/hconn/client_test.go
@@ -130,6 +130,26 @@
 	}
 }
 
+// Guards against a report that takes as much memory as the largest answer of the store.
+func TestOwnLimitOfBody(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go writeEndlessly(l, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "x")
+	const limit = 64 << 10
+	q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	q.SetRequestURI("http://" + l.Addr().String() + "/")
+	client := Client{MaxBodyBytes: limit}
+	if err := client.Do(context.Background(), q, p); !errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		t.Errorf("Do() = %v, want %v", err, fasthttp.ErrBodyTooLarge)
+	}
+	if size := cap(p.Body()); size > 2*limit {
+		t.Errorf("%d bytes of the body are in memory, want at most %d", size, 2*limit)
+	}
+}
+
 // writeEndlessly answers the first request with a text and then another one until the connection is closed.
 func writeEndlessly(l net.Listener, first, rest string) {
 	n, err := l.Accept()
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -9,18 +9,22 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/fleet"
+	"github.com/teaselstream/teaselstream/memory"
 	"github.com/teaselstream/teaselstream/reach"
 )
 
 const (
-	// maxResponseBytes limits a response that is buffered in full before it is forwarded.
+	// maxResponseBytes limits a response of a plain service, which is buffered in full before it is forwarded.
 	maxResponseBytes = 8 << 20
+	// maxTextBytes limits a response of a model that is no stream of events, such as a refusal or the whole text of an answer.
+	maxTextBytes = 1 << 20
 	// maxEventBytes limits one server-sent event.
 	maxEventBytes = 1 << 20
 	// maxStaleResponses limits the responses to earlier requests that are skipped on a connection.
@@ -35,8 +39,12 @@
 	// errUnnamedResponse reports a response without an attempt id on a connection that carried other requests, of which it may be one
 	// more answer. Servers state the id in all answers.
 	errUnnamedResponse = errors.New("answer on a kept connection names no request")
+	// errInvalidAnswer reports bytes of a server that are no answer.
+	errInvalidAnswer = errors.New("server sent no valid answer")
 	// errResponseTooLarge reports a response or event that exceeds its size limit.
-	errResponseTooLarge = errors.New("answer is over the limit")
+	errResponseTooLarge = fmt.Errorf("%w: it is over the limit", errInvalidAnswer)
+	// errUnstamped reports a success that does not come from the server's application.
+	errUnstamped = fmt.Errorf("%w: a success without the server's stamp", errInvalidAnswer)
 )
 
 // upstreamResponse is a server's response; its body may still be unread.
@@ -48,6 +56,8 @@
 	conn   *serverConn
 	// delimited reports whether the body has a length or is chunked, so that its end is known without a close.
 	delimited bool
+	// held counts the bytes of the body that are kept; it ends with the request's context.
+	held *memory.Holder
 	// detach stops the request's context from closing the connection; it returns false if the context has already closed it.
 	detach func() bool
 }
@@ -55,10 +65,32 @@
 // send writes a request to a server, directly or through another VM, and reads the status and header of its response.
 // The connection closes when ctx ends. An error wraps errDial or ErrWithheld if nothing was sent.
 func (h *Handler) send(ctx context.Context, to *fleet.Member, r reuse, m *outgoingRequest, id teaselstream.AttemptID) (*upstreamResponse, error) {
+	by := h.sendDirect
 	if h.Detour.Active() {
-		return h.sendThrough(ctx, to, r, m, id)
+		by = h.sendThrough
 	}
-	return h.sendDirect(ctx, to, r, m, id)
+	a, err := by(ctx, to, r, m, id)
+	if err == nil && a.status/100 == 2 && !a.head.Stamped {
+		a.conn.discard()
+		err = errUnstamped
+	}
+	if err != nil {
+		h.reportInvalid(to, id, err)
+		return nil, err
+	}
+	a.held = h.Answers.Open(a.conn.discard)
+	context.AfterFunc(ctx, a.held.Close)
+	return a, nil
+}
+
+// reportInvalid reports to the control loop that a server sent bytes that are no answer, or more than this VM can hold, so that other
+// requests avoid it for a while.
+func (h *Handler) reportInvalid(to *fleet.Member, id teaselstream.AttemptID, err error) {
+	if !errors.Is(err, errInvalidAnswer) && !errors.Is(err, memory.ErrEnded) {
+		return
+	}
+	h.Log.Info("AnswerInvalid", "request", string(id), "server", string(to.ID), "incarnation", uint64(to.Incarnation), "error", err.Error())
+	h.post(fleet.AnswerInvalid{Server: to.ID, Incarnation: to.Incarnation})
 }
 
 // sendDirect is send on a connection of this VM to the server.
@@ -134,20 +166,47 @@
 // maxInlineBodyBytes is the size up to which a body fits the socket's buffers, so that writing it does not block.
 const maxInlineBodyBytes = 16 << 10
 
-// readAll reads the rest of the body and returns the connection to the pool.
-func (a *upstreamResponse) readAll(p *Pool) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
+// readAll reads the rest of the body, of at most limit bytes, and returns the connection to the pool.
+func (a *upstreamResponse) readAll(p *Pool, limit int64) ([]byte, error) {
+	body, err := readBlocks(a.held.Reader(io.LimitReader(a.body, limit+1)))
+	if err == nil && int64(len(body)) > limit {
 		err = errResponseTooLarge
 	}
 	if err != nil {
 		a.conn.discard()
 		return nil, fmt.Errorf("read body: %w", err)
 	}
+	a.held.Keep()
 	a.release(p)
 	return body, nil
 }
 
+// bodyBlockBytes is the size of the blocks in which a body of unknown length is read.
+const bodyBlockBytes = 32 << 10
+
+// readBlocks reads r to its end. It keeps the data in blocks until then, since a buffer that grows leaves several times its size to the
+// garbage collector.
+func readBlocks(r io.Reader) ([]byte, error) {
+	var blocks [][]byte
+	for block := make([]byte, 0, readBufferBytes); ; {
+		n, err := r.Read(block[len(block):cap(block)])
+		block = block[:len(block)+n]
+		if err != nil && !errors.Is(err, io.EOF) {
+			return nil, err
+		}
+		if err != nil && len(blocks) == 0 {
+			return block, nil
+		}
+		if err != nil {
+			return slices.Concat(append(blocks, block)...), nil
+		}
+		if len(block) == cap(block) {
+			blocks = append(blocks, block)
+			block = make([]byte, 0, bodyBlockBytes)
+		}
+	}
+}
+
 func (a *upstreamResponse) release(p *Pool) {
 	if !a.detach() || !a.delimited {
 		a.conn.discard()
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -162,7 +162,9 @@
 		s := sendResult{number: x.AttemptNumber, member: m}
 		s.upstreamResponse, s.err = h.send(ctx, m, r, msg, c.head.Attempt)
 		if s.err == nil {
-			s.body, s.err = s.upstreamResponse.readAll(&h.pool)
+			if s.body, s.err = s.upstreamResponse.readAll(&h.pool, maxResponseBytes); s.err != nil {
+				h.reportInvalid(m, c.head.Attempt, s.err)
+			}
 		}
 		s.elapsed = time.Since(now)
 		h.recordResult(ctx, s)
--- a/proxy/dial.go
+++ b/proxy/dial.go
@@ -43,14 +43,11 @@
 
 // postFailed reports to the control loop that a connection to a server brought no answer.
 func (h *Handler) postFailed(address string, cause reach.Cause) {
-	if h.Post == nil {
-		return
-	}
 	m := reach.Failed{Address: address, Cause: cause}
 	if at := h.receivedAt.Load(); at != 0 {
 		m.ReceivedAt = time.Unix(0, at)
 	}
-	h.Post(m)
+	h.post(m)
 }
 
 // ProbeServer sends a request that needs no free slot to a server on a new connection; the control loop gets what the connection shows.
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -12,6 +12,7 @@
 	"github.com/teaselstream/teaselstream/crash"
 	"github.com/teaselstream/teaselstream/detour"
 	"github.com/teaselstream/teaselstream/fleet"
+	"github.com/teaselstream/teaselstream/memory"
 	"github.com/teaselstream/teaselstream/meter"
 	"github.com/teaselstream/teaselstream/notice"
 	"github.com/teaselstream/teaselstream/pick"
@@ -38,7 +39,7 @@
 		Rand     teaselstream.Rand
 		Meter    *meter.Meter
 		Log      *slog.Logger
-		// Post sends observations of a server to the control loop.
+		// Post sends observations of a server to the control loop; nil drops those of its connections and answers.
 		Post func(teaselstream.Msg)
 		// Dial opens connections to servers; nil means net.Dialer.
 		Dial sock.DialFunc
@@ -50,6 +51,8 @@
 		Limits quota.Limits
 		// Notices holds what servers have said about themselves.
 		Notices notice.Notices
+		// Answers bounds the bytes of servers' answers that are kept; its zero value has a limit.
+		Answers memory.Budget
 
 		pool    Pool
 		prober  prober
@@ -105,6 +108,13 @@
 	r.call()
 }
 
+// post sends an observation of a connection or an answer to the control loop, if there is one.
+func (h *Handler) post(m teaselstream.Msg) {
+	if h.Post != nil {
+		h.Post(m)
+	}
+}
+
 // CloseExpired closes connections to servers whose keep-alive time has expired.
 func (h *Handler) CloseExpired(now time.Time) { h.pool.CloseExpired(now) }
 
--- a/proxy/head.go
+++ b/proxy/head.go
@@ -18,9 +18,9 @@
 
 var (
 	// errHeadTooLarge reports a response head over maxHeadBytes.
-	errHeadTooLarge = errors.New("answer's header is over the limit")
+	errHeadTooLarge = fmt.Errorf("%w: its header is over the limit", errInvalidAnswer)
 	// errUnclearEnd reports a response head from which receivers conclude different ends of the body.
-	errUnclearEnd = errors.New("answer's header leaves the end of its body unclear")
+	errUnclearEnd = fmt.Errorf("%w: its header leaves the end of its body unclear", errInvalidAnswer)
 )
 
 // headLimit limits how many bytes are read from a connection while a response head is parsed.
@@ -60,7 +60,7 @@
 	for {
 		p, err := http.ReadResponse(u.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, fmt.Errorf("read answer: %w", err)
+			return nil, fmt.Errorf("read answer: %w", markInvalid(err))
 		}
 		if p.StatusCode/100 == 1 {
 			continue
@@ -72,6 +72,15 @@
 	}
 }
 
+// markInvalid makes an error of parsing a response head wrap errInvalidAnswer, unless the connection ended.
+func markInvalid(err error) error {
+	var n net.Error
+	if errors.Is(err, errInvalidAnswer) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &n) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", errInvalidAnswer, err)
+}
+
 // hasUnclearEnd reports whether a name in the head is followed by a space. net/http does not recognize it, so that a body with such a
 // length would be taken for one that ends with its connection.
 func hasUnclearEnd(p *http.Response) bool {
--- a/proxy/incoming.go
+++ b/proxy/incoming.go
@@ -12,9 +12,13 @@
 	"time"
 
 	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/memory"
 	"github.com/teaselstream/teaselstream/sock"
 )
 
+// firstBodyBytes is the size up to which a body gets its buffer before it has arrived; a caller may announce more than it sends.
+const firstBodyBytes = 64 << 10
+
 var errBodyTooLarge = errors.New("request body exceeds the limit")
 
 // readRequest returns the next request, or false if the connection must close.
@@ -53,10 +57,13 @@
 		Method: q.Method, Target: q.RequestURI, Host: q.Host, Header: q.Header, Arrived: arrived, conn: c,
 		http10: !q.ProtoAtLeast(1, 1), close: q.Close,
 	}
-	if x.Body, err = c.body(q, l); err != nil {
+	x.held = c.server.Bodies.Open(c.endRead)
+	if x.Body, err = c.body(q, l, x.held); err != nil {
+		x.held.Close()
 		c.refuseBodyError(err)
 		return nil, false
 	}
+	x.held.Keep()
 	return x, true
 }
 
@@ -98,7 +105,14 @@
 	return c.SetReadDeadline(c.server.capRead(time.Now().Add(d))) == nil
 }
 
-func (c *callerConn) body(q *http.Request, l teaselstream.EdgeLimits) ([]byte, error) {
+// endRead makes the read of a request fail.
+func (c *callerConn) endRead() {
+	if err := c.SetReadDeadline(time.Unix(1, 0)); err != nil && !errors.Is(err, net.ErrClosed) {
+		c.server.Log.Info("ReadNotEnded", "caller", c.RemoteAddr().String(), "error", err.Error())
+	}
+}
+
+func (c *callerConn) body(q *http.Request, l teaselstream.EdgeLimits, held *memory.Holder) ([]byte, error) {
 	if q.ContentLength > int64(l.MaxBody) {
 		return nil, errBodyTooLarge
 	}
@@ -117,14 +131,15 @@
 	}
 	var body []byte
 	if q.ContentLength > 0 {
-		body = make([]byte, 0, q.ContentLength)
+		body = make([]byte, 0, min(q.ContentLength, firstBodyBytes))
 	}
+	r := held.Reader(q.Body)
 	buffer := make([]byte, readBufferBytes)
 	for {
 		if !c.expire(bodyTimeout) {
 			return nil, net.ErrClosed
 		}
-		n, err := q.Body.Read(buffer)
+		n, err := r.Read(buffer)
 		body = append(body, buffer[:n]...)
 		if len(body) > int(l.MaxBody) {
 			return nil, errBodyTooLarge
@@ -152,6 +167,8 @@
 
 func (c *callerConn) refuseBodyError(err error) {
 	switch {
+	case errors.Is(err, memory.ErrEnded):
+		c.refuse(http.StatusServiceUnavailable)
 	case errors.Is(err, errBodyTooLarge):
 		c.refuse(http.StatusRequestEntityTooLarge)
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/proxy/observe.go
+++ b/proxy/observe.go
@@ -26,8 +26,8 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.handler.receivedAt.Store(time.Now().UnixNano())
-		if !c.reported.Load() && c.reported.CompareAndSwap(false, true) && c.handler.Post != nil {
-			c.handler.Post(reach.Answered{Address: c.address, OpenedAt: c.openedAt})
+		if !c.reported.Load() && c.reported.CompareAndSwap(false, true) {
+			c.handler.post(reach.Answered{Address: c.address, OpenedAt: c.openedAt})
 		}
 		return n, err
 	}
--- a/proxy/observe_test.go
+++ b/proxy/observe_test.go
@@ -117,7 +117,7 @@
 				m := &outgoingRequest{method: "GET", target: "/", host: "h", header: http.Header{"Id": {"me"}}}
 				a, err := h.sendDirect(ctx, to, reuseAny, m, "me")
 				if err == nil {
-					_, err = a.readAll(&h.pool)
+					_, err = a.readAll(&h.pool, maxResponseBytes)
 				}
 				cancel()
 				if got := log.take(); got != want {
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -36,11 +36,12 @@
 		s.post(ctx, flow.Closed{Attempt: c.Attempt, NotSent: notSent(err), Reason: err.Error()})
 		return
 	}
-	opened := openedResponse{flow.Opened{Attempt: c.Attempt, Status: a.status, Answer: a.head}, savedResponse{status: a.status, header: a.header}}
+	opened := openedResponse{flow.Opened{Attempt: c.Attempt, Status: a.status, Answer: a.head}, savedResponse{status: a.status, header: a.header}, a.held}
 	if a.status/100 != 2 || !a.isEventStream() {
 		opened.Whole = true
-		body, err := a.readAll(&h.pool)
+		body, err := a.readAll(&h.pool, maxTextBytes)
 		if err != nil {
+			h.reportInvalid(first, s.head.Attempt, err)
 			s.post(ctx, flow.Closed{Attempt: c.Attempt, Reason: err.Error()})
 			return
 		}
@@ -52,14 +53,14 @@
 		return
 	}
 	if s.post(ctx, opened) {
-		s.readEvents(ctx, c.Attempt, a)
+		s.readEvents(ctx, c.Attempt, first, a)
 		return
 	}
 	a.conn.discard()
 }
 
-func (s *streamRunner) readEvents(ctx context.Context, n teaselstream.Attempt, a *upstreamResponse) {
-	r := bufio.NewReaderSize(a.body, readBufferBytes)
+func (s *streamRunner) readEvents(ctx context.Context, n teaselstream.Attempt, first *fleet.Member, a *upstreamResponse) {
+	r := bufio.NewReaderSize(a.held.Reader(a.body), readBufferBytes)
 	for {
 		data, id, err := readEvent(r)
 		if err == nil {
@@ -75,6 +76,7 @@
 			return
 		}
 		a.conn.discard()
+		s.handler.reportInvalid(first, s.head.Attempt, err)
 		s.post(ctx, flow.Closed{Attempt: n, Reason: err.Error()})
 		return
 	}
--- a/proxy/refusal_test.go
+++ b/proxy/refusal_test.go
@@ -86,7 +86,7 @@
 			before := s.ran.Load()
 			a, err := sendOnce(t, h, to, i > 0)
 			if err == nil {
-				_, err = a.readAll(&h.pool)
+				_, err = a.readAll(&h.pool, maxResponseBytes)
 			}
 			if err == nil && a.head.NotRun && s.ran.Load() > before {
 				t.Errorf("refusal %s: send %d counts as not run, and the server has run it", name, i+1)
--- a/proxy/running.go
+++ b/proxy/running.go
@@ -9,6 +9,7 @@
 	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/fleet"
 	"github.com/teaselstream/teaselstream/flow"
+	"github.com/teaselstream/teaselstream/memory"
 	"github.com/teaselstream/teaselstream/meter"
 )
 
@@ -26,6 +27,8 @@
 		ended bool
 		// response is nil until the first server has answered.
 		response *savedResponse
+		// held counts the events that have been read and not delivered.
+		held *memory.Holder
 	}
 
 	// savedResponse is the part of an attempt's response that is forwarded later; body is set for responses that are not streamed.
@@ -52,6 +55,7 @@
 		if a == nil {
 			return
 		}
+		a.held.Shrink(len(m.Data))
 		a.events++
 		if a.events == soundEvents {
 			s.reportSound()
@@ -90,7 +94,7 @@
 	if a == nil {
 		return
 	}
-	a.response = &o.head
+	a.response, a.held = &o.head, o.held
 	if o.Answer.NotRun {
 		s.log("AttemptRefused", slog.LevelInfo, "attempt", o.Attempt, "status", o.Status, "server", string(a.first.ID),
 			"fault", o.Answer.Fault, "running", o.Answer.Running, "waiting", o.Answer.Waiting)
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/memory"
 	"github.com/teaselstream/teaselstream/sock"
 )
 
@@ -42,6 +43,8 @@
 		Serve  func(x *Exchange)
 		Limits func() teaselstream.EdgeLimits
 		Log    *slog.Logger
+		// Bodies bounds the bytes of the requests' bodies that are kept; nil does not.
+		Bodies *memory.Budget
 
 		mu       sync.Mutex
 		conns    map[*callerConn]bool
@@ -82,6 +85,8 @@
 		started  bool
 		complete bool
 		chunked  bool
+		// held counts the bytes of Body.
+		held *memory.Holder
 	}
 )
 
@@ -154,6 +159,7 @@
 			return
 		}
 		c.serveExchange(x)
+		x.held.Close()
 		c.setBusy(false)
 		// A response that started before Drain lacks Connection: close, so the connection is closed here. A request that has already
 		// arrived behind it is still served.
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -9,6 +9,7 @@
 	"github.com/teaselstream/teaselstream/chain"
 	"github.com/teaselstream/teaselstream/fleet"
 	"github.com/teaselstream/teaselstream/flow"
+	"github.com/teaselstream/teaselstream/memory"
 )
 
 const (
@@ -44,6 +45,8 @@
 	openedResponse struct {
 		flow.Opened
 		head savedResponse
+		// held counts the bytes of the response that are kept.
+		held *memory.Holder
 	}
 
 	// streamPlanner implements flow.Planner for one request.
--- a/proxy/upstream_test.go
+++ b/proxy/upstream_test.go
@@ -26,7 +26,7 @@
 
 func (testDialect) ProbeTarget(*teaselstream.Pool) string { return "/report" }
 func (testDialect) Answer(_ int, h http.Header) teaselstream.AnswerHead {
-	return teaselstream.AnswerHead{Attempt: teaselstream.AttemptID(h.Get("Attempt"))}
+	return teaselstream.AnswerHead{Attempt: teaselstream.AttemptID(h.Get("Attempt")), Stamped: h.Get("Unstamped") == ""}
 }
 func (testDialect) Refusal(http.Header, teaselstream.AttemptID, time.Duration) {}
 
@@ -88,7 +88,7 @@
 	if err != nil {
 		return "", err
 	}
-	b, err := a.readAll(&h.pool)
+	b, err := a.readAll(&h.pool, maxResponseBytes)
 	return string(b), err
 }
 
