--- a/flow/answer.go
+++ b/flow/answer.go
@@ -36,7 +36,7 @@
 		if s.delivered {
 			return s.retryOrFail(now, "failure status")
 		}
-		if s.mayRunAgain() && s.serversUsed() < max(s.MaxServers, 1) && s.attempts < maxStreamAttempts && s.mayRetry() {
+		if s.mayRunAgain() && s.serversUsed(now) < max(s.MaxServers, 1) && s.attempts < maxStreamAttempts && s.mayRetry() {
 			s.avoid[s.Path[0].Server] = true
 			return append([]teaselstream.Cmd{Abort{s.Attempt, "failure status"}}, s.open(now, "failure status")...)
 		}
@@ -61,7 +61,8 @@
 	s.attemptMayHaveRun = false
 	s.possiblyRan--
 	s.mayHaveRun = s.possiblyRan > 0
-	if i := slices.Index(s.ranOn, s.Path[0].Server); i >= 0 && s.attemptCounted {
+	ranHere := func(x ranServer) bool { return x.id == s.Path[0].Server }
+	if i := slices.IndexFunc(s.ranOn, ranHere); i >= 0 && s.attemptCounted {
 		s.ranOn = slices.Delete(s.ranOn, i, i+1)
 	}
 }
@@ -70,10 +71,11 @@
 func (s *Stream) markRan(first teaselstream.ServerID) bool {
 	s.mayHaveRun = true
 	s.possiblyRan++
-	if slices.Contains(s.ranOn, first) {
+	x := ranServer{first, s.Planner.Incarnation(first)}
+	if slices.Contains(s.ranOn, x) {
 		return false
 	}
-	s.ranOn = append(s.ranOn, first)
+	s.ranOn = append(s.ranOn, x)
 	return true
 }
 
--- a/flow/loss.go
+++ b/flow/loss.go
@@ -14,6 +14,9 @@
 		if now.Before(s.reopenAt) {
 			return nil
 		}
+		if s.retryUncharged && s.noServerLeft(now) {
+			return s.waitForServers(now, "no server that may run the request answers")
+		}
 		if s.retryUncharged && !s.mayRetry() {
 			if s.waitForBudget(now) {
 				return nil
@@ -27,7 +30,7 @@
 	if s.probing || s.moving || silent < s.probeDelay {
 		return nil
 	}
-	if silent > hungTimeout && s.mayRunAgain() && s.serversUsed() < max(s.MaxServers, 1) {
+	if silent > hungTimeout && s.mayRunAgain() {
 		s.avoid[s.Path[0].Server] = true
 		return append(s.probeReplacement(now), s.openReplacement(now, "no event")...)
 	}
@@ -50,7 +53,7 @@
 	s.probing = false
 	stalled := s.Planner.Resolve(m.BlockedOn)
 	if m.Unresponsive {
-		s.avoid[s.Path[0].Server] = true
+		s.markSilent(now, s.Path[0].Server)
 	}
 	if stalled != "" && stalled != s.Path[0].Server {
 		s.avoid[stalled] = true
@@ -67,7 +70,7 @@
 
 func (s *Stream) onServersDown(now time.Time, m ServersDown) []teaselstream.Cmd {
 	for _, id := range m.Servers {
-		s.avoid[id] = true
+		s.markSilent(now, id)
 	}
 	return append(s.dropLostReplacement(m.Servers), s.moveOrReplace(now, "part is down")...)
 }
@@ -166,10 +169,20 @@
 	}
 }
 
+func (s *Stream) markSilent(now time.Time, id teaselstream.ServerID) {
+	s.avoid[id] = true
+	s.silentAt[id] = now
+}
+
 // excludedForNow returns the servers that neither a move nor a replacement uses now: those in avoid and those that refused either
-// recently.
+// recently. Servers that were silent and answer again are used.
 func (s *Stream) excludedForNow(now time.Time) map[teaselstream.ServerID]bool {
 	out := maps.Clone(s.avoid)
+	for id, at := range s.silentAt {
+		if now.Sub(at) >= refusalTime && !s.Planner.Down(id) {
+			delete(out, id)
+		}
+	}
 	for id, at := range s.refusedAt {
 		if now.Sub(at) < refusalTime {
 			out[id] = true
--- a/flow/replace.go
+++ b/flow/replace.go
@@ -41,7 +41,7 @@
 	avoid := s.excludedForNow(now)
 	// The first server of the running attempt would hold the request twice.
 	avoid[s.Path[0].Server] = true
-	path, stepTime, ok := s.Planner.Plan(now, avoid, "")
+	path, stepTime, ok := s.plan(now, avoid)
 	if !ok || !s.mayRetry() || !s.Planner.Take(now, path[0].Server) {
 		return nil
 	}
@@ -52,7 +52,7 @@
 
 // mayReplace reports whether the request may be sent once more while an attempt is running.
 func (s *Stream) mayReplace(now time.Time) bool {
-	if !s.mayRunAgain() || s.serversUsed() >= max(s.MaxServers, 1) || s.MayRun != nil && !s.MayRun() {
+	if !s.mayRunAgain() || s.MayRun != nil && !s.MayRun() {
 		return false
 	}
 	return s.attempts < maxStreamAttempts || s.callerWaits(now)
--- a/flow/retry.go
+++ b/flow/retry.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"github.com/teaselstream/teaselstream"
@@ -60,8 +61,8 @@
 	if s.mayHaveRun && !s.mayRunAgain() {
 		return s.fail(teaselstream.CodeServerLost, reason, 0)
 	}
-	if s.serversUsed() >= max(s.MaxServers, 1) {
-		return s.fail(teaselstream.CodeServerLost, reason, retryAfterRefusals)
+	if s.noServerLeft(now) {
+		return s.waitForServers(now, reason)
 	}
 	if s.attempts >= maxStreamAttempts {
 		if s.callerWaits(now) {
@@ -96,17 +97,61 @@
 	return true
 }
 
-// serversUsed returns the number of servers that count against MaxServers; those that are down by now do not count.
-func (s *Stream) serversUsed() int {
+// serversUsed returns the number of servers that count against MaxServers; those that have ended or were cut off do not. A server that is
+// silent goes on with the request, so it counts until its silence shows that it was cut off.
+func (s *Stream) serversUsed(now time.Time) int {
 	n := 0
-	for _, id := range s.ranOn {
-		if !s.Planner.Down(id) {
+	for _, x := range s.ranOn {
+		if !s.Planner.Gone(now, x.id, x.incarnation) {
 			n++
 		}
 	}
 	return n
 }
 
+// plan returns a path for another attempt. A request that has run on as many servers as it may goes back to one that was silent and answers
+// again.
+func (s *Stream) plan(now time.Time, avoid map[teaselstream.ServerID]bool) (teaselstream.Path, time.Duration, bool) {
+	if s.serversUsed(now) < max(s.MaxServers, 1) {
+		return s.Planner.Plan(now, avoid, "")
+	}
+	for _, x := range s.ranOn {
+		_, wasSilent := s.silentAt[x.id]
+		if !wasSilent || avoid[x.id] || s.Planner.Down(x.id) || s.Planner.Incarnation(x.id) != x.incarnation {
+			continue
+		}
+		if path, stepTime, ok := s.Planner.Plan(now, avoid, x.id); ok && path[0].Server == x.id {
+			return path, stepTime, true
+		}
+	}
+	return nil, 0, false
+}
+
+// noServerLeft reports whether the request has run on as many servers as it may, and none of them can go on with it now.
+func (s *Stream) noServerLeft(now time.Time) bool {
+	if s.serversUsed(now) < max(s.MaxServers, 1) {
+		return false
+	}
+	_, _, ok := s.plan(now, s.excludedForNow(now))
+	return !ok
+}
+
+// waitForServers looks for a path again soon if a server that ran the request is silent, since it may go on, or prove to be cut off, while the
+// caller waits. Otherwise it ends the request.
+func (s *Stream) waitForServers(now time.Time, reason string) []teaselstream.Cmd {
+	isSilent := func(x ranServer) bool { return s.Planner.Down(x.id) && !s.Planner.Gone(now, x.id, x.incarnation) }
+	since := s.startedAt
+	if s.delivered {
+		since = s.lastEventAt
+	}
+	if now.Sub(since) >= maxServerWait || !slices.ContainsFunc(s.ranOn, isSilent) {
+		return s.fail(teaselstream.CodeServerLost, reason, retryAfterRefusals)
+	}
+	s.retryUncharged = true
+	s.reopenAt = now.Add(replanInterval)
+	return nil
+}
+
 func (s *Stream) fail(code teaselstream.Code, message string, retryAfter time.Duration) []teaselstream.Cmd {
 	s.done = true
 	if s.delivered {
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -20,6 +20,9 @@
 	// maxEventWait bounds the time since the last event in which a running stream waits for a path or retry budget; callers
 	// disconnect after 2 s without an event.
 	maxEventWait = 1600 * time.Millisecond
+	// maxServerWait bounds the time without an event in which a stream waits for servers that it may use. It ends after a server that is
+	// cut off has proved to be, and before callers disconnect.
+	maxServerWait = 1800 * time.Millisecond
 	// replanInterval is the time between searches for a path during that wait.
 	replanInterval = 100 * time.Millisecond
 	// maxStreamAttempts bounds how often a request is sent, refused attempts included. A running stream that is refused is
@@ -72,6 +75,10 @@
 		HasRoom(now time.Time, path teaselstream.Path) bool
 		// Down reports whether a server is known to be unreachable.
 		Down(id teaselstream.ServerID) bool
+		// Incarnation returns the incarnation of a server, or 0 if it is not known.
+		Incarnation(id teaselstream.ServerID) teaselstream.Incarnation
+		// Gone reports whether an incarnation of a server has ended or been cut off, as opposed to being silent for a moment.
+		Gone(now time.Time, id teaselstream.ServerID, n teaselstream.Incarnation) bool
 		// RemoteDomainServers returns the servers in the failure domain of part, or none if first is in the same domain. A
 		// broken link between the domains makes all of them unreachable from first.
 		RemoteDomainServers(first, part teaselstream.ServerID) []teaselstream.ServerID
@@ -98,6 +105,12 @@
 		LastEvent uint64
 	}
 
+	// ranServer is an incarnation of a server that may have run the request.
+	ranServer struct {
+		id          teaselstream.ServerID
+		incarnation teaselstream.Incarnation
+	}
+
 	// Stream is the state machine of one model request.
 	Stream struct {
 		Options
@@ -119,7 +132,9 @@
 		// the current attempt.
 		attempts, possiblyRan, repaths int
 		// ranOn lists the first servers of the attempts that may have run.
-		ranOn []teaselstream.ServerID
+		ranOn []ranServer
+		// silentAt holds when each server was last found not to answer.
+		silentAt map[teaselstream.ServerID]time.Time
 		// mayHaveRun reports that some attempt may have run, and attemptMayHaveRun that the current one may.
 		mayHaveRun  bool
 		lastEventID uint64
@@ -130,6 +145,7 @@
 		// lastActivity is when the current attempt was opened, answered or moved, or had its last event; probeDelay is the time
 		// from then to the next probe.
 		lastActivity time.Time
+		startedAt    time.Time
 		// lastEventAt is when the last event was delivered.
 		lastEventAt       time.Time
 		probeDelay        time.Duration
@@ -158,6 +174,8 @@
 		s.avoid = make(map[teaselstream.ServerID]bool)
 		s.leaving = make(map[teaselstream.ServerID]bool)
 		s.refusedAt = make(map[teaselstream.ServerID]time.Time)
+		s.silentAt = make(map[teaselstream.ServerID]time.Time)
+		s.startedAt = now
 		s.lastEventID = s.LastEvent
 		return s.open(now, "first")
 	case Opened:
@@ -195,7 +213,7 @@
 	if s.MayRun != nil && !s.MayRun() {
 		return s.fail(teaselstream.CodeCrashesServers, crashesServers, 0)
 	}
-	path, stepTime, ok := s.Planner.Plan(now, s.avoid, "")
+	path, stepTime, ok := s.plan(now, s.avoid)
 	if !ok && len(s.avoid) > 0 {
 		// A server that refused earlier may accept now; only unreachable servers stay excluded.
 		for id := range s.avoid {
@@ -203,7 +221,10 @@
 				delete(s.avoid, id)
 			}
 		}
-		path, stepTime, ok = s.Planner.Plan(now, s.avoid, "")
+		path, stepTime, ok = s.plan(now, s.avoid)
+	}
+	if !ok && s.serversUsed(now) >= max(s.MaxServers, 1) {
+		return s.waitForServers(now, reason)
 	}
 	if !ok {
 		if wait, limited := s.Planner.LimitWait(now, s.avoid); limited {
--- a/flow/stream_test.go
+++ b/flow/stream_test.go
@@ -16,7 +16,9 @@
 type scriptPlanner struct {
 	paths []teaselstream.Path
 	down  map[teaselstream.ServerID]bool
-	wait  time.Duration
+	// silent holds the servers that are down and may go on.
+	silent map[teaselstream.ServerID]bool
+	wait   time.Duration
 	// full holds the servers without room.
 	full map[teaselstream.ServerID]bool
 	// limits holds how many requests each server takes, or is nil if there are no limits; limitWait is the time until the next one.
@@ -65,6 +67,12 @@
 
 func (p *scriptPlanner) Down(id teaselstream.ServerID) bool { return p.down[id] }
 
+func (p *scriptPlanner) Incarnation(teaselstream.ServerID) teaselstream.Incarnation { return 1 }
+
+func (p *scriptPlanner) Gone(_ time.Time, id teaselstream.ServerID, _ teaselstream.Incarnation) bool {
+	return p.down[id] && !p.silent[id]
+}
+
 // RemoteDomainServers treats servers whose names begin with the same capital letter as one failure domain.
 func (p *scriptPlanner) RemoteDomainServers(first, part teaselstream.ServerID) []teaselstream.ServerID {
 	var ids []teaselstream.ServerID
@@ -104,7 +112,7 @@
 func (s *streamScript) run(t *testing.T, d *datadriven.TestData) string {
 	switch d.Cmd {
 	case "stream":
-		s.planner = &scriptPlanner{down: make(map[teaselstream.ServerID]bool)}
+		s.planner = &scriptPlanner{down: make(map[teaselstream.ServerID]bool), silent: make(map[teaselstream.ServerID]bool)}
 		s.stream = &Stream{Options: Options{Planner: s.planner, MaxServers: 2, MayRetry: s.mayRetry, Resumable: !d.HasArg("once")}}
 		s.harmful = d.HasArg("harmful")
 		s.stream.MayRun = func() bool { return !s.harmful }
@@ -222,6 +230,16 @@
 	case "down":
 		s.planner.down[teaselstream.ServerID(f[2])] = true
 		return nil
+	case "silent":
+		id := teaselstream.ServerID(f[2])
+		s.planner.down[id], s.planner.silent[id] = true, true
+		return nil
+	case "answers":
+		delete(s.planner.down, teaselstream.ServerID(f[2]))
+		return nil
+	case "cutoff":
+		delete(s.planner.silent, teaselstream.ServerID(f[2]))
+		return nil
 	case "up":
 		delete(s.planner.down, teaselstream.ServerID(f[2]))
 		return nil
--- a/proxy/planner.go
+++ b/proxy/planner.go
@@ -63,6 +63,22 @@
 	return m == nil || m.State == fleet.Down
 }
 
+func (p *streamPlanner) Incarnation(id teaselstream.ServerID) teaselstream.Incarnation {
+	if m := p.request.handler.View().Members[id]; m != nil {
+		return m.Incarnation
+	}
+	return 0
+}
+
+// soundSilence is how long a server that was found down may still be a sound one that is silent. Sound servers fall silent for a second or
+// so, and a stream finds that out 300 ms after the last event.
+const soundSilence = 1200 * time.Millisecond
+
+func (p *streamPlanner) Gone(now time.Time, id teaselstream.ServerID, n teaselstream.Incarnation) bool {
+	m := p.request.handler.View().Members[id]
+	return m == nil || m.Incarnation > n || m.Ended || m.State == fleet.Down && now.Sub(m.DownSince) >= soundSilence
+}
+
 func (p *streamPlanner) RemoteDomainServers(first, part teaselstream.ServerID) []teaselstream.ServerID {
 	v := p.request.handler.View()
 	a, b := v.Members[first], v.Members[part]
