--- a/cmd/gate/serve.go
+++ b/cmd/gate/serve.go
@@ -39,8 +39,8 @@
 	budgetFraction = 0.85
 	// minBudgetVMs is the least number of VMs by which the budget is divided, since after a start few have registered.
 	minBudgetVMs = 6
-	// messageShare is the fraction of the process's memory that servers' answers may take, and that the bodies of requests may take. The
-	// garbage collector needs about twice that, and buffers grow by copies.
+	// Servers' answers may take one part in messageShare of the process's memory, and so may the bodies of requests. The garbage
+	// collector lets the heap grow to about twice what is held.
 	messageShare = 8
 	// heapShare is the fraction of the process's memory from which on the garbage collector runs more often; the rest is for what the
 	// platform counts beyond the heap, such as received bytes that have not been read.
--- a/flow/loss.go
+++ b/flow/loss.go
@@ -30,7 +30,7 @@
 	if s.probing || s.moving || silent < s.probeDelay {
 		return nil
 	}
-	if silent > hungTimeout && s.mayRunAgain() {
+	if silent > hungTimeout && s.mayRunAgain() && !s.noServerLeft(now) {
 		s.avoid[s.Path[0].Server] = true
 		return append(s.probeReplacement(now), s.openReplacement(now, "no event")...)
 	}
@@ -169,6 +169,7 @@
 	}
 }
 
+// markSilent excludes a server that does not answer, until it does.
 func (s *Stream) markSilent(now time.Time, id teaselstream.ServerID) {
 	s.avoid[id] = true
 	s.silentAt[id] = now
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -29,6 +29,8 @@
 	maxEventBytes = 1 << 20
 	// maxStaleResponses limits the responses to earlier requests that are skipped on a connection.
 	maxStaleResponses = 3
+	// bodyBlockBytes is the size of the blocks in which a whole response is read.
+	bodyBlockBytes = 32 << 10
 	// sendTimeout limits the write of a request to a server that does not read it.
 	sendTimeout = 2 * time.Second
 )
@@ -181,9 +183,6 @@
 	return body, nil
 }
 
-// bodyBlockBytes is the size of the blocks in which a body of unknown length is read.
-const bodyBlockBytes = 32 << 10
-
 // readBlocks reads r to its end. It keeps the data in blocks until then, since a buffer that grows leaves several times its size to the
 // garbage collector.
 func readBlocks(r io.Reader) ([]byte, error) {
--- a/proxy/planner.go
+++ b/proxy/planner.go
@@ -7,6 +7,10 @@
 	"github.com/teaselstream/teaselstream/fleet"
 )
 
+// soundSilence is how long a server that was found down may still be a sound one that is silent. Sound servers fall silent for a second or
+// so, and a stream finds that out 300 ms after the last event.
+const soundSilence = 1200 * time.Millisecond
+
 func (p *streamPlanner) Plan(now time.Time, avoid map[teaselstream.ServerID]bool, first teaselstream.ServerID) (teaselstream.Path, time.Duration, bool) {
 	pathRequest := p.pathRequest
 	pathRequest.Avoid, pathRequest.First = avoid, first
@@ -70,10 +74,6 @@
 	return 0
 }
 
-// soundSilence is how long a server that was found down may still be a sound one that is silent. Sound servers fall silent for a second or
-// so, and a stream finds that out 300 ms after the last event.
-const soundSilence = 1200 * time.Millisecond
-
 func (p *streamPlanner) Gone(now time.Time, id teaselstream.ServerID, n teaselstream.Incarnation) bool {
 	m := p.request.handler.View().Members[id]
 	return m == nil || m.Incarnation > n || m.Ended || m.State == fleet.Down && now.Sub(m.DownSince) >= soundSilence
