--- a/cmd/gate/isolated_test.go
+++ b/cmd/gate/isolated_test.go
@@ -112,3 +112,44 @@
 		})
 	}
 }
+
+// Guards against VMs that hold their callers' requests, or answer other than as not run, while all of them are partitioned from all servers,
+// so that no VM can help another one; and against VMs that do not serve again afterwards.
+func TestAllVMsWithoutServers(t *testing.T) {
+	const (
+		gates = 3
+		// refusalTime is well under the shortest objective of a route, so that the caller can still be served elsewhere.
+		refusalTime = 250 * time.Millisecond
+	)
+	s := startPlatform(t, gates)
+	stop := make(chan struct{})
+	defer close(stop)
+	for g := range gates {
+		go func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(50 * time.Millisecond):
+					go s.get(g, "/draft/?n=20", fmt.Sprintf("load%d-%d", g, i))
+				}
+			}
+		}()
+	}
+	time.Sleep(time.Second)
+	s.network.Cut(plat.CutHangs, s.gateAddresses...)
+	time.Sleep(testContactTime)
+	for i, path := range []string{"/draft/?n=5", "/look/1", "/draft/?n=5", "/look/1", "/draft/?n=5", "/look/1"} {
+		began := time.Now()
+		a := s.get(i%gates, path, fmt.Sprintf("cut%d", i))
+		if took := time.Since(began); a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" || took > refusalTime {
+			t.Errorf("%s at gate %d: status %d, Retry-After %q, error %v after %s; want 503 and a time within %s; log of the request:\n%s", path, i%gates, a.status,
+				a.header.Get("Retry-After"), a.err, took, refusalTime, s.gateLog.linesAbout(a.attempt))
+		}
+	}
+	s.network.Mend(s.gateAddresses...)
+	time.Sleep(regainTime)
+	for g := range gates {
+		s.checkEvents(t, s.get(g, "/draft/?n=5", fmt.Sprintf("after%d", g)), 5)
+	}
+}
