proxy: a server that ends in the middle of a stream is reported

The first server of vm2-670 ended and broke off the stream at 1.55 s; the second fell silent at once, for a second. Until 4.4 s both counted against MaxAttempts, the first because nothing had shown that it had ended.

Cause: a server that breaks off an answer was checked for its end only if the answer had hardly begun, since only that can convict a request. Since silent servers count, the end has to be known.

Change: it is checked after each answer that breaks off. The request is still reported as one that may crash servers only if it had hardly begun.

--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -77,18 +77,25 @@
 
 // reportLoss reports that a server broke off the request without an answer, if the server has ended.
 func (r *request) reportLoss(m *fleet.Member, begun bool) {
-	h := r.handler
-	if !h.endings.check(m.ID, m.Address, h.dialServer) {
+	if !r.handler.reportEnding(m) {
 		return
 	}
+	r.handler.Post(crash.Lost{Request: r.head.Attempt, Server: m.ID, Incarnation: m.Incarnation, Traits: r.traits, Begun: begun})
+	r.log("ServerCrashed", slog.LevelInfo, "server", string(m.ID), "incarnation", uint64(m.Incarnation), "begun", begun, "traits", r.traits)
+}
+
+// reportEnding reports that a server has ended, if it has, and returns whether it has.
+func (h *Handler) reportEnding(m *fleet.Member) bool {
+	if !h.endings.check(m.ID, m.Address, h.dialServer) {
+		return false
+	}
 	// A VM that loses all servers is refused by each of them. The probes that follow the first failure show that by then.
 	time.Sleep(isolationCheckDelay)
 	if h.Detour.IsIsolated() {
-		return
+		return false
 	}
 	h.Post(fleet.Unreachable{Server: m.ID, Incarnation: m.Incarnation, Ended: true, Reason: "broke off answers and refuses connections"})
-	h.Post(crash.Lost{Request: r.head.Attempt, Server: m.ID, Incarnation: m.Incarnation, Traits: r.traits, Begun: begun})
-	r.log("ServerCrashed", slog.LevelInfo, "server", string(m.ID), "incarnation", uint64(m.Incarnation), "begun", begun, "traits", r.traits)
+	return true
 }
 
 // check reports whether a server has ended: its address refuses connections.
--- a/proxy/running.go
+++ b/proxy/running.go
@@ -76,16 +76,22 @@
 	}
 }
 
-// recordBroken logs what ran on a server that broke off an answer, and reports the request if the server has ended before it
-// wrote an answer.
+// recordBroken logs what ran on a server that broke off an answer, and reports the server if it has ended, with the request
+// if it had not written an answer.
 func (s *streamRunner) recordBroken(m flow.Closed, a *attempt) {
 	begun := a.response != nil
 	s.log("AttemptBroken", slog.LevelInfo, "attempt", m.Attempt, "server", string(a.first.ID), "incarnation", uint64(a.first.Incarnation),
 		"begun", begun, "events", a.events, "segments", s.head.Segments, "error", m.Reason)
-	if a.events < soundEvents && a.first.Service != "" {
-		first := a.first
+	if a.first.Service == "" {
+		return
+	}
+	first := a.first
+	if a.events < soundEvents {
 		go s.reportLoss(&first, begun)
+		return
 	}
+	// A server that has ended does not count against the servers on which the request may run.
+	go s.handler.reportEnding(&first)
 }
 
 // recordResponse keeps the head of an attempt's response and records the load and the limit that its first server states in it.
