--- a/cmd/stand/plat/replica.go
+++ b/cmd/stand/plat/replica.go
@@ -435,6 +435,9 @@
 // stream answers with numbered events up to the query's n, after the Last-Event-Id header.
 func (r *Replica) stream(w http.ResponseWriter, q *http.Request) {
 	path, id := q.Header.Get("X-Hop-Count"), q.Header.Get("X-Attempt-Id")
+	if path == "" {
+		r.fleet.recordError("%s got %s %s without a path from %s, attempt %q, host %q", r.id, q.Method, q.RequestURI, q.RemoteAddr, id, q.Host)
+	}
 	if blocked, misplaced := r.blockedHop(path, ""); blocked != "" && misplaced {
 		w.Header().Set("At-Server", blocked)
 		w.WriteHeader(http.StatusMisdirectedRequest)
