--- a/cmd/gate/control.go
+++ b/cmd/gate/control.go
@@ -16,6 +16,7 @@
 	"github.com/teaselstream/teaselstream/proxy"
 	"github.com/teaselstream/teaselstream/quota"
 	"github.com/teaselstream/teaselstream/reach"
+	"github.com/teaselstream/teaselstream/status"
 	"github.com/teaselstream/teaselstream/watch"
 )
 
@@ -34,6 +35,9 @@
 		tracker crash.Tracker
 		quotas  quota.Tracker
 		reach   reach.Tracker
+		// observer looks at servers for other VMs while this VM is the one that does, and status tells them.
+		observer status.Observer
+		status   *status.Service
 		// isolated means that this VM reaches no server.
 		isolated atomic.Bool
 		vm       teaselstream.VMID
@@ -64,11 +68,12 @@
 
 func newControlLoop(settings config.GateSettings, log *slog.Logger) *controlLoop {
 	c := &controlLoop{
-		vm:      settings.VM.Name,
-		quotas:  quota.Tracker{VM: settings.VM.Name},
-		core:    fleet.Core{Domain: settings.VM.Domain},
-		decider: cover.Decider{VM: settings.VM.Name, Domain: settings.VM.Domain},
-		inbox:   make(chan teaselstream.Msg, inboxSize), log: log,
+		vm:       settings.VM.Name,
+		quotas:   quota.Tracker{VM: settings.VM.Name},
+		core:     fleet.Core{Domain: settings.VM.Domain},
+		decider:  cover.Decider{VM: settings.VM.Name, Domain: settings.VM.Domain},
+		observer: status.Observer{Domain: settings.VM.Domain},
+		inbox:    make(chan teaselstream.Msg, inboxSize), log: log,
 	}
 	c.view.Store(&fleet.View{Domain: settings.VM.Domain})
 	return c
@@ -119,6 +124,7 @@
 			c.execute(ctx, c.tracker.Update(now, teaselstream.Tick{}))
 			c.execute(ctx, c.quotas.Update(now, teaselstream.Tick{}))
 			c.execute(ctx, c.reach.Update(now, teaselstream.Tick{}))
+			c.execute(ctx, c.observer.Update(now, teaselstream.Tick{}))
 			c.closeSilentStreams(now)
 			c.execute(ctx, c.decider.Update(now, cover.ViewTick{View: c.current(), Limited: c.limited}))
 		}
@@ -136,6 +142,11 @@
 		c.execute(ctx, c.quotas.Update(now, m))
 	case reach.Answered, reach.Failed:
 		c.execute(ctx, c.reach.Update(now, m))
+	case status.Activated, status.ConnectionEnded, status.StreamStalled:
+		c.execute(ctx, c.observer.Update(now, m))
+	case fleet.ReportReceived:
+		c.execute(ctx, c.core.Update(now, m))
+		c.execute(ctx, c.observer.Update(now, status.Looked{Server: m.Server, Report: m.Report}))
 	case fleet.PeersListed:
 		c.execute(ctx, c.core.Update(now, m))
 		c.execute(ctx, c.tracker.Update(now, crash.Peers{Self: c.vm, VMs: peerNames(m.Peers)}))
@@ -156,8 +167,12 @@
 	for _, cmd := range cmds {
 		switch x := cmd.(type) {
 		case fleet.PublishView:
-			c.view.Store(x.View)
+			before := c.view.Swap(x.View)
 			c.onPublish(x.View)
+			if x.View.DownSince(before) {
+				c.handler.ServersWentDown()
+			}
+			c.execute(ctx, c.observer.Update(x.View.At, status.ViewChanged{View: x.View}))
 			c.execute(ctx, c.quotas.Update(x.View.At, quota.ViewChanged{View: x.View}))
 			c.execute(ctx, c.reach.Update(x.View.At, reach.ViewChanged{View: x.View}))
 		case reach.Probe:
@@ -182,6 +197,12 @@
 			go c.writeRecord(x)
 		case fleet.ReadReport:
 			go c.readReport(x)
+		case fleet.CheckEnded:
+			go c.handler.CheckEnded(x)
+		case status.Look:
+			go c.look(x)
+		case status.Publish:
+			c.status.Publish(x)
 		case cover.Hold:
 			c.log.Info("OrderDecided", "server", string(x.Server), "range", x.Range.String(), "holds", x.Holds.String(),
 				"reason", x.Reason, "waitedMs", x.Waited.Milliseconds(), "rank", x.Rank)
--- /dev/null
+++ b/cmd/gate/observe.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"errors"
+
+	"github.com/teaselstream/teaselstream/config"
+	"github.com/teaselstream/teaselstream/fleet"
+	"github.com/teaselstream/teaselstream/hconn"
+	"github.com/teaselstream/teaselstream/platform"
+	"github.com/teaselstream/teaselstream/proxy"
+	"github.com/teaselstream/teaselstream/status"
+)
+
+// assembleStatus prepares the exchange with other VMs about servers, if the settings ask for it.
+func (p *process) assembleStatus(settings config.GateSettings, peers func() []fleet.Peer) {
+	p.status = &status.Service{
+		Self: p.shared.Self, Peers: peers, Post: p.controlLoop.post, ReadReport: p.handler.ReadForOthers,
+		Teams: func() []status.TeamLoad { return nil }, SetTeams: func([]status.TeamLoad) {}, Log: p.log,
+	}
+	p.controlLoop.status = p.status
+	if !settings.Domain.Observe || settings.Listen.Peers == "" {
+		return
+	}
+	p.handler.Observer = p.status
+	p.shared.Handlers = p.status.Handlers()
+	p.handler.Replicas = &platform.Replicas{Conn: hconn.Client{
+		Dial: p.conns.Dial(p.handler.DialServer), Detour: p.handler.Detour, MaxBodyBytes: maxReportBytes,
+	}}
+}
+
+// runStatus exchanges what VMs know about servers until ctx ends.
+func (p *process) runStatus(ctx context.Context) {
+	if p.handler.Observer == nil {
+		return
+	}
+	go p.status.Run(ctx)
+	go p.conns.Run(ctx, p.status.Observes, func(address string) {
+		p.controlLoop.post(status.ConnectionEnded{Address: address})
+	})
+}
+
+// look reads a server's report for all VMs of the failure domain.
+func (c *controlLoop) look(x status.Look) {
+	_, err := c.handler.ReadReport(x.Server, x.Address, x.Incarnation, x.Timeout)
+	if err != nil && !errors.Is(err, proxy.ErrWithheld) {
+		c.log.Info("ServerSilent", "server", string(x.Server), "reason", x.Reason, "error", err)
+	}
+}
--- a/cmd/gate/serve.go
+++ b/cmd/gate/serve.go
@@ -28,6 +28,7 @@
 	"github.com/teaselstream/teaselstream/proxy"
 	"github.com/teaselstream/teaselstream/share"
 	"github.com/teaselstream/teaselstream/sock"
+	"github.com/teaselstream/teaselstream/status"
 	"github.com/teaselstream/teaselstream/watch"
 )
 
@@ -69,6 +70,9 @@
 	meter    *meter.Meter
 	stopping atomic.Bool
 	dial     sock.DialFunc
+	// status exchanges what VMs know about servers, and conns watches the connections on which reports are read.
+	status *status.Service
+	conns  status.Conns
 }
 
 // serveUntil runs the router until ctx ends, then drains the requests in flight. It connects to servers with dial, or with net.Dialer
@@ -106,6 +110,7 @@
 		go reports.Run(background)
 	}
 	go p.controlLoop.run(background)
+	p.runStatus(background)
 	follower := p.follower(background)
 	follower.Restored = registrar.StoreRestored
 	go follower.Run(background)
@@ -149,6 +154,7 @@
 		Peers: peers, Log: p.log,
 	}
 	p.server = &proxy.Server{Serve: p.handler.Serve, Limits: p.limits, Log: p.log, Bodies: &p.bodies}
+	p.assembleStatus(settings, peers)
 	p.relay = &proxy.Server{Serve: p.handler.Carry, Limits: p.relayLimits, Log: p.log, Bodies: &p.bodies}
 }
 
--- a/config/gate.go
+++ b/config/gate.go
@@ -30,6 +30,13 @@
 		Store  Store
 		Log    Log
 		Bounds GateBounds
+		Domain GateDomain
+	}
+
+	// GateDomain says what the VMs of a failure domain do together.
+	GateDomain struct {
+		// Observe lets one VM look at the model servers for all VMs of its failure domain.
+		Observe bool
 	}
 
 	// GateListen holds the "IP:port" addresses of the listeners.
@@ -101,6 +108,9 @@
 			RetrySlack:  r.number("Bounds", "RetrySlack", defaultRetrySlack),
 			Memory:      teaselstream.Bytes(r.number("Bounds", "MemoryMB", 0) * bytesPerMB),
 		},
+		Domain: GateDomain{
+			Observe: r.optional("Domain", "Observe", choiceFormat("on", "off"), "off") == "on",
+		},
 	}
 }
 
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -99,6 +99,8 @@
 		// reportAskedAt is when a refusal other than for wrong layers last requested the server's report.
 		reportAskedAt time.Time
 		removedAt     time.Time
+		// observed is what another VM of the failure domain has found out about the server.
+		observed observation
 	}
 )
 
@@ -137,6 +139,10 @@
 		cmds = c.markDown(now, m)
 	case ServersIsolated:
 		cmds = c.clearDown(m.Since)
+	case Observed:
+		cmds = c.applyObserved(now, m)
+	case StreamStalled:
+		cmds = c.applyStalled(now, m)
 	case NotAsked:
 		c.forgetSilences(m.Server)
 	case MessagesDropped:
@@ -361,7 +367,7 @@
 	}
 	if !m.WrongLayers {
 		cmds := []teaselstream.Cmd{LogEvent{Event: "ServerPaused", Server: r.ID, Reason: "refused work"}}
-		if now.Sub(r.reportAskedAt) > reportInterval {
+		if now.Sub(r.reportAskedAt) > reportInterval && !r.observed.freshAt(now) {
 			r.reportAskedAt = now
 			cmds = append(cmds, ReadReport{Server: r.ID, Address: r.Address, Reason: "refused work"})
 		}
--- a/fleet/down.go
+++ b/fleet/down.go
@@ -61,6 +61,11 @@
 		cmds = append(cmds, LogEvent{Event: "ServerCutOff", Server: r.ID, Reason: "silent without a break", Age: r.silentFor})
 	}
 	left := !r.removedAt.IsZero() && (r.CutOff || r.Ended)
+	if r.observed.unreached(now) {
+		// Another VM probes the server for this one, and says when it answers.
+		r.forgetSilence()
+		return cmds
+	}
 	if !left && !now.Before(r.nextProbeAt) {
 		cmds = append(cmds, c.probeDown(now, r))
 	}
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -37,10 +37,13 @@
 )
 
 // RecordReport records the running and waiting requests that a server reports, and the fraction of its cache memory in
-// use; a negative fraction means that the report does not contain it.
+// use; a negative fraction means that the report does not contain it. A report that is older than the last one is dropped.
 func (u *LoadEstimate) RecordReport(now time.Time, running, waiting int, cache float64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if now.Before(u.lastReport.at) {
+		return
+	}
 	if cache < 0 {
 		cache = u.lastReport.cache
 	}
--- /dev/null
+++ b/fleet/observed.go
@@ -0,0 +1,221 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+)
+
+const (
+	// maxObservationAge is the age up to which what another VM has found out about a server is used; a stream lasts about as long.
+	maxObservationAge = 3 * time.Second
+	// observationFresh is how long an observation takes the place of an own probe. The observing VM repeats it every 500 ms, and a call
+	// to it may take as long.
+	observationFresh = 1300 * time.Millisecond
+	// stallMemory is how long a stream of this VM that stands still bears out what another VM says about a server of its path.
+	stallMemory = 400 * time.Millisecond
+	// observedPause is how long a server that another VM does not reach gets no new work where others have room.
+	observedPause = time.Second
+	// ownLookInterval is the least time between two own looks that follow from what another VM says.
+	ownLookInterval = 300 * time.Millisecond
+	// paceSteps is the number of steps per unit to which an observed pace is rounded, so that its noise does not change the view.
+	paceSteps = 4
+)
+
+const (
+	// Answering means that the server answers.
+	Answering Reachability = iota
+	// Silent means that it does not.
+	Silent
+	// Ended means that its address refuses connections.
+	Ended
+)
+
+type (
+	// Reachability says how a server is reached by a VM.
+	Reachability uint8
+
+	// Observed carries what another VM of the failure domain has found out about servers.
+	Observed struct {
+		From         teaselstream.VMID
+		Observations []Observation
+	}
+
+	// Observation is what another VM has found out about a server; Age is the time since then.
+	Observation struct {
+		Server      teaselstream.ServerID
+		Incarnation teaselstream.Incarnation
+		State       Reachability
+		Age         time.Duration
+		// CutOff means that the server has been silent there for longer than a sound one is.
+		CutOff bool
+		// Report holds the load, the layers and the pace that the server reported.
+		Report teaselstream.ReplicaReport
+	}
+
+	// StreamStalled reports that a stream of this VM has had no event for longer than usual. Servers is its path.
+	StreamStalled struct{ Servers []teaselstream.ServerID }
+
+	// CheckEnded requests a connection to a server that another VM has found ended; a refusal arrives as Unreachable.
+	CheckEnded struct {
+		Server      teaselstream.ServerID
+		Address     string
+		Incarnation teaselstream.Incarnation
+	}
+
+	// observation is the newest one of a server, and when this VM had a stream that stood still on it.
+	observation struct {
+		at        time.Time
+		state     Reachability
+		cutOff    bool
+		stalledAt time.Time
+		lookedAt  time.Time
+	}
+)
+
+// String returns the name of the reachability.
+func (r Reachability) String() string {
+	switch r {
+	case Answering:
+		return "Answering"
+	case Silent:
+		return "Silent"
+	default:
+		return "Ended"
+	}
+}
+
+// Reachability returns how this VM reaches the server, and for how long it has not.
+func (m *Member) Reachability(now time.Time) (Reachability, time.Duration) {
+	switch {
+	case m.State != Down:
+		return Answering, 0
+	case m.Ended:
+		return Ended, now.Sub(m.DownSince)
+	default:
+		return Silent, now.Sub(m.DownSince)
+	}
+}
+
+// freshAt reports whether the observation is recent enough to stand for an own look.
+func (o *observation) freshAt(now time.Time) bool {
+	return !o.at.IsZero() && now.Sub(o.at) <= observationFresh
+}
+
+// unreached reports whether another VM has found lately that it does not reach the server.
+func (o *observation) unreached(now time.Time) bool { return o.freshAt(now) && o.state != Answering }
+
+func (c *Core) applyObserved(now time.Time, m Observed) []teaselstream.Cmd {
+	var cmds []teaselstream.Cmd
+	for i := range m.Observations {
+		o := &m.Observations[i]
+		r := c.members[o.Server]
+		if r == nil || o.Incarnation < r.Incarnation || o.Age < 0 || o.Age > maxObservationAge {
+			continue
+		}
+		at := now.Add(-o.Age)
+		if at.Before(r.observed.at) {
+			continue
+		}
+		if o.Incarnation > r.Incarnation {
+			// A wrong incarnation would hide the server from then on, so only the server itself is believed.
+			cmds = append(cmds, c.ownLook(now, r, "another VM found a later start")...)
+			continue
+		}
+		r.observed.at, r.observed.state, r.observed.cutOff = at, o.State, o.CutOff
+		cmds = append(cmds, c.weighObservation(now, r, o)...)
+	}
+	return cmds
+}
+
+// weighObservation follows what another VM has found out, which alone ends nothing.
+func (c *Core) weighObservation(now time.Time, r *memberRecord, o *Observation) []teaselstream.Cmd {
+	switch {
+	case o.State == Answering && r.State == Down:
+		if r.observed.at.Before(r.DownSince) {
+			return nil
+		}
+		return c.ownLook(now, r, "answers another VM")
+	case o.State == Answering:
+		c.applyObservedLoad(now, r, o)
+		return nil
+	case r.State == Down:
+		if o.CutOff && !r.CutOff && !r.Ended {
+			r.CutOff, c.dirty = true, true
+			return []teaselstream.Cmd{LogEvent{Event: "ServerCutOff", Server: r.ID, Reason: "silent for another VM too", Age: now.Sub(r.DownSince)}}
+		}
+		return nil
+	case o.State == Ended:
+		return append(c.avoidObserved(now, r), c.checkEnded(now, r)...)
+	case now.Sub(r.observed.stalledAt) <= stallMemory:
+		return c.markStalled(now, r)
+	}
+	return c.avoidObserved(now, r)
+}
+
+// applyObservedLoad takes over the load, the pace and the layers of a server that answers another VM, unless this VM knows later ones.
+func (c *Core) applyObservedLoad(now time.Time, r *memberRecord, o *Observation) {
+	at := now.Add(-o.Age)
+	if o.Report.CacheTotal <= 0 || at.Before(r.reportedAt) {
+		return
+	}
+	before := r.Member
+	if o.Report.Pace > 0 {
+		r.Slowdown = float64(int(o.Report.Pace*paceSteps+0.5)) / paceSteps
+	}
+	r.Holds, r.Orders, r.reportedAt = o.Report.Holds, o.Report.Orders, at
+	r.LoadEstimate.RecordReport(at, o.Report.Running, o.Report.Waiting, float64(o.Report.CacheUsed)/float64(o.Report.CacheTotal))
+	c.dirty = c.dirty || !sameMember(before, r.Member)
+}
+
+// avoidObserved keeps new work from a server that another VM does not reach, where others have room.
+func (c *Core) avoidObserved(now time.Time, r *memberRecord) []teaselstream.Cmd {
+	first := !now.Before(r.PausedUntil)
+	if until := now.Add(observedPause); until.After(r.PausedUntil) {
+		r.PausedUntil, c.dirty = until, true
+	}
+	if !first {
+		return nil
+	}
+	return []teaselstream.Cmd{LogEvent{Event: "ServerPaused", Server: r.ID, Reason: "another VM does not reach it"}}
+}
+
+// checkEnded requests an own look at a server that has ended for another VM.
+func (c *Core) checkEnded(now time.Time, r *memberRecord) []teaselstream.Cmd {
+	if now.Sub(r.observed.lookedAt) < ownLookInterval {
+		return nil
+	}
+	r.observed.lookedAt = now
+	return []teaselstream.Cmd{CheckEnded{Server: r.ID, Address: r.Address, Incarnation: r.Incarnation}}
+}
+
+// ownLook requests the server's own report.
+func (c *Core) ownLook(now time.Time, r *memberRecord, reason string) []teaselstream.Cmd {
+	if now.Sub(r.observed.lookedAt) < ownLookInterval {
+		return nil
+	}
+	r.observed.lookedAt = now
+	return []teaselstream.Cmd{ReadReport{Server: r.ID, Address: r.Address, Reason: reason}}
+}
+
+// markStalled finds a server down that another VM does not reach while a stream of this VM stands still on it.
+func (c *Core) markStalled(now time.Time, r *memberRecord) []teaselstream.Cmd {
+	return c.markDown(now, Unreachable{
+		Server: r.ID, Incarnation: r.Incarnation, Unanswered: now.Sub(r.observed.at), Reason: "silent for another VM, and a stream stands still",
+	})
+}
+
+func (c *Core) applyStalled(now time.Time, m StreamStalled) []teaselstream.Cmd {
+	var cmds []teaselstream.Cmd
+	for _, id := range m.Servers {
+		r := c.members[id]
+		if r == nil || r.State == Down {
+			continue
+		}
+		r.observed.stalledAt = now
+		if r.observed.unreached(now) && r.observed.state == Silent {
+			cmds = append(cmds, c.markStalled(now, r)...)
+		}
+	}
+	return cmds
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -85,6 +85,19 @@
 	}
 }
 
+// DownSince reports whether a server is down that was not in an earlier view, or has ended since.
+func (v *View) DownSince(earlier *View) bool {
+	for id, m := range v.Members {
+		if m.State != Down {
+			continue
+		}
+		if e := earlier.Members[id]; e == nil || e.State != Down || m.Ended && !e.Ended {
+			return true
+		}
+	}
+	return false
+}
+
 // DomainVMs returns the number of VMs in a failure domain, at least 1.
 func (v *View) DomainVMs(d teaselstream.DomainID) int {
 	n := 0
--- a/flow/loss.go
+++ b/flow/loss.go
@@ -27,9 +27,12 @@
 		return s.open(now, "retry after waiting for path, budget or backoff")
 	}
 	silent := now.Sub(s.lastActivity)
-	if s.probing || s.moving || silent < s.probeDelay {
+	if s.probing || s.moving {
 		return nil
 	}
+	if cmds := s.reportStall(silent); silent < s.probeDelay {
+		return cmds
+	}
 	if silent > hungTimeout && s.mayRunAgain() && !s.noServerLeft(now) {
 		s.avoid[s.Path[0].Server] = true
 		return append(s.probeReplacement(now), s.openReplacement(now, "no event")...)
--- a/flow/replace.go
+++ b/flow/replace.go
@@ -28,7 +28,7 @@
 func (s *Stream) openReplacement(now time.Time, reason string) []teaselstream.Cmd {
 	s.markMayHaveRun()
 	silent := now.Sub(s.lastActivity)
-	if silent < nextEventProbeDelay {
+	if silent < s.leastSilence() {
 		// There was activity recently, so the path still works although a server in avoid is part of it. It is probed again
 		// if no event follows.
 		s.probeDelay = nextEventProbeDelay
--- /dev/null
+++ b/flow/stall.go
@@ -0,0 +1,62 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+)
+
+const (
+	// stallFactor is the number of usual pauses after which a stream stands still. Prompts that are read between two events double a pause now
+	// and then.
+	stallFactor = 2
+	// gapWeight is the weight of the newest pause in the moving mean.
+	gapWeight = 8
+)
+
+// StreamStalled reports that the running attempt has had no event for longer than usual; other VMs may know which server of its path is
+// the cause.
+type StreamStalled struct {
+	Path   teaselstream.Path
+	Silent time.Duration
+}
+
+// reportsStall reports whether the stream is still to be reported if no event comes.
+func (s *Stream) reportsStall() bool {
+	return s.StallDelay > 0 && s.attemptDelivered && !s.stallReported
+}
+
+// stallAfter returns the time without an event after which the stream stands still.
+func (s *Stream) stallAfter() time.Duration { return max(s.StallDelay, stallFactor*s.meanGap) }
+
+// reportStall returns the report if it is due.
+func (s *Stream) reportStall(silent time.Duration) []teaselstream.Cmd {
+	if !s.reportsStall() || silent < s.stallAfter() {
+		return nil
+	}
+	s.stallReported = true
+	return []teaselstream.Cmd{StreamStalled{slices.Clone(s.Path), silent}}
+}
+
+// recordGap adds the pause before an event to the moving mean.
+func (s *Stream) recordGap(now time.Time) {
+	s.stallReported = false
+	if !s.attemptDelivered {
+		return
+	}
+	gap := now.Sub(s.lastEventAt)
+	if s.meanGap == 0 {
+		s.meanGap = gap
+	}
+	s.meanGap += (gap - s.meanGap) / gapWeight
+}
+
+// leastSilence returns the time without an event from which on a path with a server in avoid does not work any more. A stream that was reported
+// as standing still has a server that is down for another VM too.
+func (s *Stream) leastSilence() time.Duration {
+	if s.stallReported {
+		return s.stallAfter()
+	}
+	return nextEventProbeDelay
+}
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -101,6 +101,8 @@
 		MaxServers int
 		// Objective is the target time to the first event; 0 means none.
 		Objective time.Duration
+		// StallDelay is the least time without an event after which a running stream is reported as standing still; 0 means never.
+		StallDelay time.Duration
 		// LastEvent is the number of the last event that the caller received in an earlier request, or 0.
 		LastEvent uint64
 	}
@@ -146,8 +148,11 @@
 		// from then to the next probe.
 		lastActivity time.Time
 		startedAt    time.Time
-		// lastEventAt is when the last event was delivered.
-		lastEventAt       time.Time
+		// lastEventAt is when the last event was delivered, and meanGap the moving mean of the time between two events.
+		lastEventAt time.Time
+		meanGap     time.Duration
+		// stallReported means that the stream was reported as standing still since its last event.
+		stallReported     bool
 		probeDelay        time.Duration
 		probing           bool
 		moving            bool
@@ -280,6 +285,8 @@
 	case s.probing || s.moving:
 		// The result of the probe or move arrives as a message; a tick before it does nothing.
 		return s.lastActivity.Add(hungTimeout + s.probeDelay)
+	case s.reportsStall():
+		return s.lastActivity.Add(min(s.stallAfter(), s.probeDelay))
 	}
 	return s.lastActivity.Add(s.probeDelay)
 }
--- /dev/null
+++ b/proxy/domain.go
@@ -0,0 +1,96 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/fleet"
+	"github.com/teaselstream/teaselstream/flow"
+)
+
+// stallShare is the share of the route's objective for pauses after which a stream may be reported as standing still. The rest is for
+// finding the server, for the move and for reading the tokens again.
+const stallShare = 0.25
+
+type (
+	// Observer exchanges what VMs of a failure domain find out about its servers.
+	Observer interface {
+		// Known reports whether a VM observes the servers of the failure domain.
+		Known() bool
+		// Report returns a server's report that the observing VM reads; ok is false if this VM has to read it itself.
+		Report(id teaselstream.ServerID) (report teaselstream.ReplicaReport, ok bool, err error)
+		// Stalled reports the path of a stream that stands still.
+		Stalled(servers []teaselstream.ServerID)
+	}
+
+	// downSignal wakes streams when a server goes down, since a stream without events looks at the view rarely; its zero value works.
+	downSignal struct {
+		mu   sync.Mutex
+		next chan struct{}
+	}
+)
+
+// ServersWentDown makes all streams look at the current view, in which servers are down that were not before.
+func (h *Handler) ServersWentDown() {
+	h.downs.mu.Lock()
+	defer h.downs.mu.Unlock()
+	if h.downs.next != nil {
+		close(h.downs.next)
+		h.downs.next = nil
+	}
+}
+
+// wait returns a channel that is closed when the next server goes down.
+func (d *downSignal) wait() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.next == nil {
+		d.next = make(chan struct{})
+	}
+	return d.next
+}
+
+// observed reports whether another VM, or this one, observes the servers of the failure domain.
+func (h *Handler) observed() bool { return h.Observer != nil && h.Observer.Known() }
+
+// stallDelay returns the time without an event after which streams of a route may be reported as standing still, or 0.
+func (h *Handler) stallDelay(r *teaselstream.Route) time.Duration {
+	if !h.observed() {
+		return 0
+	}
+	return time.Duration(stallShare * float64(r.Gap))
+}
+
+// reportStall tells the control loop and the observing VM that the stream stands still.
+func (s *streamRunner) reportStall(c flow.StreamStalled) {
+	servers := c.Path.Servers()
+	s.handler.Post(fleet.StreamStalled{Servers: servers})
+	if s.handler.Observer != nil {
+		s.handler.Observer.Stalled(servers)
+	}
+}
+
+// observedReport reads a server's report through the observing VM, if there is one and the server is in its failure domain.
+func (h *Handler) observedReport(m *fleet.Member) (teaselstream.ReplicaReport, bool, error) {
+	if h.Observer == nil || m.Domain != h.View().Domain {
+		return teaselstream.ReplicaReport{}, false, nil
+	}
+	return h.Observer.Report(m.ID)
+}
+
+// ReadForOthers reads a server's report for another VM, or returns one that is at most probeReuse old.
+func (h *Handler) ReadForOthers(id teaselstream.ServerID) (teaselstream.ReplicaReport, error) {
+	m := h.View().Members[id]
+	if m == nil {
+		return teaselstream.ReplicaReport{}, teaselstream.ErrNotFound
+	}
+	return h.prober.readReport(h, m)
+}
+
+// CheckEnded connects to a server that has ended for another VM, and reports it to the control loop if it refuses the connection.
+func (h *Handler) CheckEnded(x fleet.CheckEnded) {
+	if refusesConnections(x.Address, h.dialServer) {
+		h.Post(fleet.Unreachable{Server: x.Server, Incarnation: x.Incarnation, Ended: true, Reason: "ended for another VM, and refuses connections"})
+	}
+}
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -53,6 +53,8 @@
 		Notices notice.Notices
 		// Answers bounds the bytes of servers' answers that are kept; its zero value has a limit.
 		Answers memory.Budget
+		// Observer is the exchange with other VMs of the failure domain about servers; nil means that there is none.
+		Observer Observer
 
 		pool    Pool
 		prober  prober
@@ -63,6 +65,7 @@
 		streamDurations streamDurations
 		durations       routeDurations
 		stopping        stopState
+		downs           downSignal
 	}
 
 	// request is the state of one request in the handler.
--- a/proxy/prober.go
+++ b/proxy/prober.go
@@ -51,7 +51,10 @@
 		x = &probe{at: now, done: make(chan struct{})}
 		p.recent[m.ID] = x
 		p.mu.Unlock()
-		x.report, x.err = h.ReadReport(m.ID, m.Address, m.Incarnation, 0)
+		var ok bool
+		if x.report, ok, x.err = h.observedReport(m); !ok {
+			x.report, x.err = h.ReadReport(m.ID, m.Address, m.Incarnation, 0)
+		}
 		close(x.done)
 		return x.report, x.err
 	}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -76,7 +76,7 @@
 		MayRetry:  r.mayRetry,
 		MayRun:    r.mayRun,
 		Resumable: r.route.Resumable || r.route.Idempotent, MaxServers: max(r.route.MaxServers, 1), LastEvent: r.head.LastEvent,
-		Objective: r.route.Objective,
+		Objective: r.route.Objective, StallDelay: h.stallDelay(r.route),
 	}
 	defer s.stop()
 	cmds := s.core.Update(time.Now(), flow.Start{})
@@ -126,7 +126,14 @@
 		due = check
 	}
 	timer.Reset(max(due.Sub(now), 0))
+	down := s.handler.downs.wait()
+	if s.handler.View() != s.lastView {
+		// The view has changed since it was checked.
+		return nil
+	}
 	select {
+	case <-down:
+		return nil
 	case m := <-s.inbox:
 		now = time.Now()
 		if a, ok := m.(openedResponse); ok {
@@ -201,6 +208,8 @@
 			s.log("AttemptAborted", slog.LevelInfo, "attempt", c.Attempt, "reason", c.Reason)
 		case flow.Probe:
 			go s.probe(c)
+		case flow.StreamStalled:
+			s.reportStall(c)
 		case flow.Repath:
 			s.moves++
 			s.reserve(s.current(), c.Path)
--- a/share/directory.go
+++ b/share/directory.go
@@ -45,13 +45,15 @@
 )
 
 type (
-	// Directory is a teaselstream.Directory that follows the store through readers; all exported fields must be set.
+	// Directory is a teaselstream.Directory that follows the store through readers; all exported fields but Handlers must be set.
 	Directory struct {
 		teaselstream.Directory
 		Self fleet.Peer
 		// Peers returns the registered VMs, this one included.
 		Peers func() []fleet.Peer
 		Log   *slog.Logger
+		// Handlers serves further paths of the listener for other VMs; it may be nil.
+		Handlers map[string]fasthttp.RequestHandler
 
 		changes Log
 		// answeredAt is when the store last answered this VM or the reader that it asked. Only Follow uses it, which must not
--- a/share/server.go
+++ b/share/server.go
@@ -24,6 +24,10 @@
 }
 
 func (d *Directory) handle(c *fasthttp.RequestCtx) {
+	if h := d.Handlers[string(c.Path())]; h != nil {
+		h(c)
+		return
+	}
 	revision, err := strconv.ParseUint(string(c.QueryArgs().Peek("after")), 10, 64)
 	era, eraErr := strconv.ParseUint(string(c.QueryArgs().Peek("era")), 10, 64)
 	if err != nil || eraErr != nil || string(c.Path()) != changesPath {
--- /dev/null
+++ b/status/service.go
@@ -0,0 +1,330 @@
+package status
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/fleet"
+	"github.com/teaselstream/teaselstream/hconn"
+)
+
+const (
+	// observersPerDomain is the number of VMs of a failure domain that may observe: the first, and those that stand by for it.
+	observersPerDomain = 3
+	// minVMs is the number of VMs from which a failure domain has an observer; fewer repeat little of each other's work.
+	minVMs = 5
+	// holdTime is how long an ask without news is held; the loads that come with the answer are then as old as this at most.
+	holdTime = 500 * time.Millisecond
+	// askTimeout bounds an ask, so that an observer that is frozen or cut off is noticed within a second.
+	askTimeout = 950 * time.Millisecond
+	// urgentTimeout bounds a message that a stream waits for; VMs of one domain are less than a millisecond apart.
+	urgentTimeout = 60 * time.Millisecond
+	// failedPause is how long a VM that did not answer is not asked.
+	failedPause = 3 * time.Second
+	// retryPause is the time between two attempts to find an observer.
+	retryPause = 300 * time.Millisecond
+	// standbyPeriod is how long a VM that stands in observes before it looks whether one before it answers again.
+	standbyPeriod = 2 * time.Second
+	// freshTime is how long after its last answer the observer counts as known.
+	freshTime = 1500 * time.Millisecond
+	// stallBatch is how long reports of streams that stand still are collected into one message.
+	stallBatch = 5 * time.Millisecond
+	stallQueue = 256
+	// The paths of the listener for other VMs.
+	askPath    = "/status"
+	stallPath  = "/status/stalled"
+	reportPath = "/status/report"
+	// serverParameter names the server in a request for its report.
+	serverParameter = "server"
+)
+
+// errNoObserver means that no VM of the failure domain that may observe answers.
+var errNoObserver = errors.New("no observer answers")
+
+type (
+	// Service exchanges what VMs know about servers. All exported fields must be set before Run.
+	Service struct {
+		Self fleet.Peer
+		// Peers returns the registered VMs, this one included.
+		Peers func() []fleet.Peer
+		// Post passes messages to the control loop: fleet.Observed, and the messages of Observer while this VM observes.
+		Post func(teaselstream.Msg)
+		// ReadReport reads a server's report, or returns one that is at most 100 ms old.
+		ReadReport func(id teaselstream.ServerID) (teaselstream.ReplicaReport, error)
+		// Teams returns this VM's running requests by team and service.
+		Teams func() []TeamLoad
+		// SetTeams receives those of all VMs.
+		SetTeams func([]TeamLoad)
+		Log      *slog.Logger
+
+		journal journal
+		conn    hconn.Client
+		// observer is the VM that answered last, or nil; answeredAt is when, in Unix nanoseconds.
+		observer   atomic.Pointer[fleet.Peer]
+		answeredAt atomic.Int64
+		observing  atomic.Bool
+		stalls     chan []teaselstream.ServerID
+		once       sync.Once
+		// rejected counts the messages that could not be read since the last log line.
+		rejected atomic.Int64
+		// boot and seq are the place of the newest answer, and pausedUntil the time until which a VM is not asked. Only Run uses them.
+		boot, seq   uint64
+		pausedUntil map[teaselstream.VMID]time.Time
+	}
+)
+
+func (s *Service) init() {
+	s.once.Do(func() { s.stalls = make(chan []teaselstream.ServerID, stallQueue) })
+}
+
+// Run asks the observer of the failure domain, or observes, until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	s.init()
+	s.pausedUntil = make(map[teaselstream.VMID]time.Time)
+	go s.sendStalls(ctx)
+	for ctx.Err() == nil {
+		upstreams, mayObserve := s.role()
+		switch {
+		case s.askFirst(ctx, upstreams):
+			s.observe(false)
+		case mayObserve:
+			s.observe(true)
+			s.exchangeOwn(ctx, standbyPeriod)
+		default:
+			s.observe(false)
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// role returns the VMs to ask in turn, and whether this VM observes if none of them answers.
+func (s *Service) role() (upstreams []fleet.Peer, mayObserve bool) {
+	peers := make(map[teaselstream.VMID]fleet.Peer)
+	var names []teaselstream.VMID
+	for _, p := range s.Peers() {
+		if p.Domain == s.Self.Domain && p.Address != "" {
+			peers[p.Name] = p
+			names = append(names, p.Name)
+		}
+	}
+	if len(names) < minVMs {
+		return nil, false
+	}
+	for _, name := range teaselstream.RendezvousOrder("status/"+string(s.Self.Domain), names)[:observersPerDomain] {
+		if name == s.Self.Name {
+			return upstreams, true
+		}
+		upstreams = append(upstreams, peers[name])
+	}
+	return upstreams, false
+}
+
+// observe makes this VM the observer, or ends that.
+func (s *Service) observe(active bool) {
+	if s.observing.Swap(active) == active {
+		return
+	}
+	s.Log.Info("Observer", "active", active, "domain", string(s.Self.Domain))
+	if active {
+		s.observer.Store(nil)
+		s.boot, s.seq = 0, 0
+		s.journal.reset(rand.Uint64())
+	} else {
+		s.journal.reset(0)
+	}
+	s.Post(Activated{Active: active})
+}
+
+// exchangeOwn passes on the teams of this VM and of those that ask it, for some time.
+func (s *Service) exchangeOwn(ctx context.Context, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end) && ctx.Err() == nil; {
+		now := time.Now()
+		s.journal.setTeams(now, s.Self.Name, s.Teams())
+		s.SetTeams(s.journal.teamLoads(now))
+		pause(ctx, holdTime)
+	}
+	if n := s.rejected.Swap(0); n > 0 {
+		s.Log.Warn("StatusMessagesRejected", "count", n)
+	}
+}
+
+// askFirst asks the first VM that answers and reports whether one did.
+func (s *Service) askFirst(ctx context.Context, upstreams []fleet.Peer) bool {
+	for _, p := range upstreams {
+		if time.Now().Before(s.pausedUntil[p.Name]) {
+			continue
+		}
+		began := time.Now()
+		a, err := s.ask(ctx, p)
+		if err != nil {
+			s.pausedUntil[p.Name] = time.Now().Add(failedPause)
+			if ctx.Err() == nil {
+				s.Log.Info("ObserverFailed", "observer", string(p.Name), "error", err.Error())
+			}
+			continue
+		}
+		s.apply(p, began, a)
+		return true
+	}
+	s.observer.Store(nil)
+	return false
+}
+
+func (s *Service) apply(p fleet.Peer, began time.Time, a Answer) {
+	now := time.Now()
+	if old := s.observer.Swap(&p); old == nil || old.Name != p.Name {
+		s.Log.Info("ObserverFound", "observer", string(p.Name), "ms", now.Sub(began).Milliseconds())
+	}
+	s.answeredAt.Store(now.UnixNano())
+	s.boot, s.seq = a.Boot, a.Seq
+	s.SetTeams(a.Teams)
+	m := fleet.Observed{From: p.Name, Observations: make([]fleet.Observation, len(a.Records))}
+	for i, r := range a.Records {
+		m.Observations[i] = r.observation()
+	}
+	s.Post(m)
+}
+
+func (r *Record) observation() fleet.Observation {
+	return fleet.Observation{
+		Server: r.Server, Incarnation: r.Incarnation, State: r.State, Age: r.Age, CutOff: r.CutOff,
+		Report: teaselstream.ReplicaReport{
+			Incarnation: r.Incarnation, Holds: r.Holds, Orders: r.Orders, Running: r.Running, Waiting: r.Waiting,
+			CacheUsed: r.CacheUsed, CacheTotal: r.CacheTotal, Pace: r.Pace,
+		},
+	}
+}
+
+func (s *Service) ask(ctx context.Context, p fleet.Peer) (Answer, error) {
+	body, err := encode(Ask{VM: s.Self.Name, Boot: s.boot, After: s.seq, Teams: s.Teams()})
+	if err != nil {
+		return Answer{}, err
+	}
+	answer, err := s.call(ctx, p, askPath, body, askTimeout)
+	if err != nil {
+		return Answer{}, err
+	}
+	return decodeAnswer(answer)
+}
+
+// call sends a message to another VM and returns the body of its answer.
+func (s *Service) call(ctx context.Context, p fleet.Peer, target string, body []byte, timeout time.Duration) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	q, a := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(q)
+	defer fasthttp.ReleaseResponse(a)
+	q.Header.SetMethod(fasthttp.MethodPost)
+	q.SetRequestURI("http://" + p.Address + target)
+	q.SetBody(body)
+	if err := s.conn.Do(ctx, q, a); err != nil {
+		return nil, fmt.Errorf("ask VM %s: %w", p.Name, err)
+	}
+	if a.StatusCode() != fasthttp.StatusOK {
+		return nil, fmt.Errorf("ask VM %s: status %d: %w", p.Name, a.StatusCode(), errNoObserver)
+	}
+	return append([]byte(nil), a.Body()...), nil
+}
+
+// current returns the VM that observes for the failure domain, if it has answered lately.
+func (s *Service) current() (fleet.Peer, bool) {
+	p := s.observer.Load()
+	if p == nil || time.Since(time.Unix(0, s.answeredAt.Load())) > freshTime {
+		return fleet.Peer{}, false
+	}
+	return *p, true
+}
+
+// Known reports whether another VM observes for this one, or this VM observes itself.
+func (s *Service) Known() bool {
+	if s.observing.Load() {
+		return true
+	}
+	_, ok := s.current()
+	return ok
+}
+
+// Observes reports whether this VM observes for its failure domain.
+func (s *Service) Observes() bool { return s.observing.Load() }
+
+// Report returns a server's report that the observer reads; ok is false if this VM has to read it itself. The error wraps
+// teaselstream.ErrUnavailable if the server does not answer the observer.
+func (s *Service) Report(id teaselstream.ServerID) (report teaselstream.ReplicaReport, ok bool, err error) {
+	p, known := s.current()
+	if !known {
+		return report, false, nil
+	}
+	body, err := s.call(context.Background(), p, reportPath+"?"+serverParameter+"="+string(id), nil, 2*urgentTimeout+2*stallTimeout)
+	if err != nil {
+		s.Log.Info("ObserverFailed", "observer", string(p.Name), "error", err.Error())
+		return report, false, nil
+	}
+	a, err := decodeReport(body)
+	if err != nil {
+		s.rejected.Add(1)
+		return report, false, nil
+	}
+	if a.Unanswered {
+		return report, true, fmt.Errorf("report of %s by VM %s: %w", id, p.Name, teaselstream.ErrUnavailable)
+	}
+	return a.Report, true, nil
+}
+
+// Stalled reports a stream that stands still to the observer. It never blocks; what exceeds the queue is dropped, since other
+// streams on a lost server report it too.
+func (s *Service) Stalled(servers []teaselstream.ServerID) {
+	s.init()
+	select {
+	case s.stalls <- servers:
+	default:
+	}
+}
+
+func (s *Service) sendStalls(ctx context.Context) {
+	for {
+		var paths [][]teaselstream.ServerID
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-s.stalls:
+			paths = append(paths, first)
+		}
+		pause(ctx, stallBatch)
+		for len(paths) < maxPaths && len(s.stalls) > 0 {
+			paths = append(paths, <-s.stalls)
+		}
+		if s.observing.Load() {
+			for _, path := range paths {
+				s.Post(StreamStalled{Servers: path})
+			}
+			continue
+		}
+		p, ok := s.current()
+		if !ok {
+			continue
+		}
+		body, err := encode(Stall{Paths: paths})
+		if err == nil {
+			_, err = s.call(ctx, p, stallPath, body, urgentTimeout)
+		}
+		if err != nil {
+			s.Log.Info("ObserverFailed", "observer", string(p.Name), "error", err.Error())
+		}
+	}
+}
