--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -66,6 +66,7 @@
 		durations       routeDurations
 		stopping        stopState
 		downs           downSignal
+		ranks           rankIndex
 	}
 
 	// request is the state of one request in the handler.
