--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -59,6 +59,8 @@
 					fmt.Fprintf(&out, "%s: %s %s\n", at, c.Event, c.Server)
 				case ReadReport:
 					fmt.Fprintf(&out, "%s: read report of %s\n", at, c.Server)
+				case CheckEnded:
+					fmt.Fprintf(&out, "%s: check the end of %s\n", at, c.Server)
 				}
 			}
 		}
@@ -95,7 +97,8 @@
 }
 
 // message parses "listed NAME[@HEARTBEATS]...", "changed NAME [from-to] [born=N] [beat=N] [draining] [age=D]", "removed NAME [age=D]", "reported NAME from-to
-// [born=N]", "stated NAME [born=N]", "silent NAME [born=N] [ended] [for=D]", "notasked NAME", "dropped", "refused NAME [misplaced]", "invalid NAME [born=N]", "lost", "regained", "restored", "routing N" or "tick".
+// [born=N]", "stated NAME [born=N]", "silent NAME [born=N] [ended] [for=D]", "notasked NAME", "observed NAME answering|silent|ended [from-to] [born=N]
+// [age=D] [cutoff]", "stalled NAME", "dropped", "refused NAME [misplaced]", "invalid NAME [born=N]", "lost", "regained", "restored", "routing N" or "tick".
 func message(t *testing.T, f []string) teaselstream.Msg {
 	var id teaselstream.ServerID
 	if len(f) > 1 {
@@ -120,6 +123,18 @@
 		return LeavingStated{Server: id, Incarnation: r.Incarnation}
 	case "silent":
 		return Unreachable{Server: id, Incarnation: r.Incarnation, Ended: slices.Contains(f, "ended"), Unanswered: durationOf(t, f, "for=")}
+	case "observed":
+		o := Observation{Server: id, Incarnation: r.Incarnation, Age: ageOf(t, f), CutOff: slices.Contains(f, "cutoff")}
+		o.Report = teaselstream.ReplicaReport{Incarnation: r.Incarnation, Holds: r.Holds, Pace: 1, CacheTotal: 100}
+		switch f[2] {
+		case "silent":
+			o.State = Silent
+		case "ended":
+			o.State = Ended
+		}
+		return Observed{From: "vm2", Observations: []Observation{o}}
+	case "stalled":
+		return StreamStalled{Servers: []teaselstream.ServerID{id}}
 	case "notasked":
 		return NotAsked{Server: id}
 	case "dropped":
