--- a/flow/loss.go
+++ b/flow/loss.go
@@ -30,7 +30,7 @@
 	if s.probing || s.moving {
 		return nil
 	}
-	if cmds := s.reportStall(silent); silent < s.probeDelay {
+	if cmds := s.reportStall(now, silent); len(cmds) > 0 || silent < s.probeDelay {
 		return cmds
 	}
 	if silent > hungTimeout && s.mayRunAgain() && !s.noServerLeft(now) {
--- a/flow/stall.go
+++ b/flow/stall.go
@@ -30,13 +30,17 @@
 // stallAfter returns the time without an event after which the stream stands still.
 func (s *Stream) stallAfter() time.Duration { return max(s.StallDelay, stallFactor*s.meanGap) }
 
-// reportStall returns the report if it is due.
-func (s *Stream) reportStall(silent time.Duration) []teaselstream.Cmd {
+// reportStall returns the report if it is due, and leaves servers that are known to be down by then.
+func (s *Stream) reportStall(now time.Time, silent time.Duration) []teaselstream.Cmd {
 	if !s.reportsStall() || silent < s.stallAfter() {
 		return nil
 	}
 	s.stallReported = true
-	return []teaselstream.Cmd{StreamStalled{slices.Clone(s.Path), silent}}
+	cmds := []teaselstream.Cmd{StreamStalled{slices.Clone(s.Path), silent}}
+	if !s.lostPart() {
+		return cmds
+	}
+	return append(cmds, s.moveOrReplace(now, "part is down")...)
 }
 
 // recordGap adds the pause before an event to the moving mean.
--- a/flow/stream_test.go
+++ b/flow/stream_test.go
@@ -129,6 +129,11 @@
 			s.planner.limits["a"] = int(numberOf(limit))
 			s.planner.limitWait, _ = time.ParseDuration(wait)
 		}
+		if d.HasArg("stall") {
+			var stall string
+			d.ScanArgs(t, "stall", &stall)
+			s.stream.StallDelay, _ = time.ParseDuration(stall)
+		}
 		s.planner.full = make(map[teaselstream.ServerID]bool)
 		if d.HasArg("full") {
 			var full string
@@ -289,6 +294,8 @@
 		return fmt.Sprintf("probe %d %s", c.Attempt, c.Path[0].Server)
 	case Repath:
 		return fmt.Sprintf("move %d %v: %s", c.Attempt, c.Path.Servers(), c.Reason)
+	case StreamStalled:
+		return fmt.Sprintf("stands still on %v", c.Path.Servers())
 	case Deliver:
 		return fmt.Sprintf("deliver from %d", c.Attempt)
 	case PassThrough:
