--- a/moves/loss.go
+++ b/moves/loss.go
@@ -37,10 +37,10 @@
 	}
 	b.add(a.Request, a.Rank, a.Tokens, span(a.Silent)-now.Sub(b.since))
 	rate := s.shareOf(now, b)
-	left := span(a.Gap) - span(a.Silent)
-	if b.total() <= rate*left.Seconds() || (a.Gap <= 0 && b.oneRank()) {
+	s.objectives = s.objectives || a.Gap > 0
+	if !s.objectives || b.readInTime(a, rate) {
 		b.commit(a.Request, now)
-		return moveNow(now, a.Request, "server is lost; all its streams are read in time")
+		return moveNow(now, a.Request, "server is lost; no stream comes late by it")
 	}
 	if until := b.since.Add(gatherTime); now.Before(until) && !now.Before(b.since) && waitLimit(a, 0) >= gatherTime {
 		return stay(now, a, until, "waits for the questions of other streams")
@@ -48,6 +48,16 @@
 	return s.sendInOrder(now, b, a, rate)
 }
 
+// readInTime reports whether all tokens are read within the objective of a stream, so that no order is needed. With one rank the silence
+// until now does not count, since a stream that was late already takes no time from more urgent ones.
+func (b *backlog) readInTime(a Ask, rate float64) bool {
+	objective := span(a.Gap)
+	if !b.oneRank() {
+		objective -= span(a.Silent)
+	}
+	return b.total() <= rate*objective.Seconds()
+}
+
 // sendInOrder answers a stream of a server whose streams cannot all be read in time.
 func (s *Scheduler) sendInOrder(now time.Time, b *backlog, a Ask, rate float64) []teaselstream.Cmd {
 	tokens := float64(clamp(int64(a.Tokens), 0, maxTokens))
--- a/moves/scheduler.go
+++ b/moves/scheduler.go
@@ -31,6 +31,8 @@
 		lost, slow map[teaselstream.ServerID]*backlog
 		moved      map[teaselstream.AttemptID]*history
 		sweepAt    time.Time
+		// objectives reports that some stream had an objective for its pauses; without any, no order is needed.
+		objectives bool
 	}
 
 	// history holds the moves of a stream off slow servers.
