--- a/moves/load_test.go
+++ b/moves/load_test.go
@@ -178,7 +178,7 @@
 func TestLostPath(t *testing.T) {
 	for _, rate := range []float64{25_000, 50_000, 100_000, 200_000} {
 		rates := []float64{rate, 1.2 * rate, 1.6 * rate, 2.4 * rate}
-		var atOnce, ordered, unknown, best result
+		var atOnce, ordered, mixed, unknown, best result
 		for seed := range uint64(loadSeeds) {
 			r := rand.New(rand.NewPCG(seed, 1))
 			all := newStreams(r, loadStreams)
@@ -192,13 +192,19 @@
 			atOnce.read(all, rates)
 			schedule(t, r, all, rate, true)
 			ordered.read(all, rates)
+			for _, x := range all {
+				if x.vm%2 == 0 {
+					x.sentAt = noticed[x.vm]
+				}
+			}
+			mixed.read(all, rates)
 			schedule(t, r, all, rate, false)
 			unknown.read(all, rates)
 			bestOrder(all, rate)
 			best.read(all, rates)
 		}
-		t.Logf("%.0f tokens/s\nat once         %v\nschedulers      %v\nwithout totals  %v\none VM knows all%v", rate, atOnce, ordered, unknown, best)
-		for name, got := range map[string]result{"schedulers": ordered, "schedulers without totals": unknown} {
+		t.Logf("%.0f tokens/s\nat once         %v\nschedulers      %v\nhalf old builds %v\nwithout totals  %v\none VM knows all%v", rate, atOnce, ordered, mixed, unknown, best)
+		for name, got := range map[string]result{"schedulers": ordered, "half old builds": mixed, "schedulers without totals": unknown} {
 			compare(t, name, got, atOnce, atOnce)
 		}
 	}
