--- a/flow/answer.go
+++ b/flow/answer.go
@@ -113,6 +113,7 @@
 		s.lastEventID = m.ID
 	}
 	s.recordGap(now)
+	s.turn = turn{}
 	s.delivered, s.attemptDelivered, s.lastEventAt = true, true, now
 	s.probeDelay = nextEventProbeDelay
 	// The path works, whatever probes of it showed. A server that is down may still have sent what is on its way.
--- a/flow/loss.go
+++ b/flow/loss.go
@@ -27,7 +27,16 @@
 		return s.open(now, "retry after waiting for path, budget or backoff")
 	}
 	silent := now.Sub(s.lastActivity)
-	if s.probing || s.moving {
+	if s.moving {
+		return nil
+	}
+	if s.awaitsTurn() && !now.Before(s.turn.at) {
+		s.turn.at = time.Time{}
+		if cmds := s.moveOrReplace(now, "part is down"); len(cmds) > 0 {
+			return cmds
+		}
+	}
+	if s.probing {
 		return nil
 	}
 	if cmds := s.reportStall(now, silent); len(cmds) > 0 || silent < s.probeDelay {
@@ -92,7 +101,10 @@
 		return nil
 	}
 	if !lost {
-		reason = "part is leaving"
+		reason = s.leavingReason
+	}
+	if lost && !s.mayLeave(now, s.firstLost()) {
+		return nil
 	}
 	excluded := s.excludedForNow(now)
 	path, stepTime, ok := s.planMove(now, excluded, s.leaving)
@@ -130,6 +142,7 @@
 	if m.Err == nil {
 		// The new parts must read all tokens so far before the next event.
 		s.lastActivity = now
+		s.turn = turn{}
 		s.probeDelay = max(s.probeDelay, firstEventProbeDelay)
 		return nil
 	}
@@ -195,14 +208,14 @@
 	return out
 }
 
-// MoveOff moves the stream off a server of its path that will soon stop, unless that is the first one. A refused move is repeated only
+// MoveOff moves the stream off a server of its path that will soon stop or is slow, unless that is the first one. A refused move is repeated only
 // if a pause follows: most streams end in time, and moves that are repeated fill the other servers with prompts to read again.
-func (s *Stream) MoveOff(now time.Time, id teaselstream.ServerID) []teaselstream.Cmd {
+func (s *Stream) MoveOff(now time.Time, id teaselstream.ServerID, reason string) []teaselstream.Cmd {
 	if s.done || !s.runs() || s.avoid[id] || s.leaving[id] || !s.opened || s.Path[0].Server == id {
 		return nil
 	}
-	s.leaving[id] = true
-	return s.moveOrReplace(now, "part is leaving")
+	s.leaving[id], s.leavingReason = true, reason
+	return s.moveOrReplace(now, reason)
 }
 
 // Outlasts estimates, from the rate at which a stream produced events in the time running, whether its expected number of
--- a/flow/random_test.go
+++ b/flow/random_test.go
@@ -122,7 +122,7 @@
 		}
 		r.update(fmt.Sprintf("moved %+v", m), m)
 	case k < 12:
-		r.run("vacate", r.s.MoveOff(r.now, teaselstream.ServerID("abcdefgh"[r.IntN(8):][:1])))
+		r.run("vacate", r.s.MoveOff(r.now, teaselstream.ServerID("abcdefgh"[r.IntN(8):][:1]), "part is leaving"))
 	case k < 13 && len(r.s.Path) > 0:
 		id := r.s.Path[r.IntN(len(r.s.Path))].Server
 		r.update("lost "+string(id), ServersDown{[]teaselstream.ServerID{id}})
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -105,6 +105,8 @@
 		StallDelay time.Duration
 		// LastEvent is the number of the last event that the caller received in an earlier request, or 0.
 		LastEvent uint64
+		// Departure orders the streams that leave a lost server by a move; nil lets each leave at once.
+		Departure Departure
 	}
 
 	// ranServer is an incarnation of a server that may have run the request.
@@ -124,6 +126,8 @@
 		avoid        map[teaselstream.ServerID]bool
 		// leaving holds the parts that will soon stop but still work, so that they are a reason to move and none to end the attempt.
 		leaving map[teaselstream.ServerID]bool
+		// leavingReason is why the stream leaves the newest one in leaving.
+		leavingReason string
 		// refusedAt holds when each server refused a move or a replacement for lack of room.
 		refusedAt map[teaselstream.ServerID]time.Time
 		// replacement is the attempt that is opened beside the running one.
@@ -151,6 +155,8 @@
 		// lastEventAt is when the last event was delivered, and meanGap the moving mean of the time between two events.
 		lastEventAt time.Time
 		meanGap     time.Duration
+		// turn is when the stream may leave the lost servers of its path.
+		turn turn
 		// stallReported means that the stream was reported as standing still since its last event.
 		stallReported     bool
 		probeDelay        time.Duration
@@ -264,6 +270,7 @@
 	s.repaths, s.probing, s.moving, s.opened, s.attemptMayHaveRun, s.attemptDelivered = 0, false, false, false, false, false
 	s.lastActivity, s.reopenAt = now, time.Time{}
 	s.probeDelay = firstEventProbeDelay
+	s.turn = turn{}
 	clear(s.leaving)
 }
 
@@ -282,6 +289,8 @@
 		return time.Time{}
 	case !s.reopenAt.IsZero():
 		return s.reopenAt
+	case s.awaitsTurn():
+		return s.turn.at
 	case s.probing || s.moving:
 		// The result of the probe or move arrives as a message; a tick before it does nothing.
 		return s.lastActivity.Add(hungTimeout + s.probeDelay)
--- a/flow/stream_test.go
+++ b/flow/stream_test.go
@@ -255,7 +255,7 @@
 		s.retries = int(numberOf(f[2]))
 		return nil
 	case "vacate":
-		return s.stream.MoveOff(now, teaselstream.ServerID(f[2]))
+		return s.stream.MoveOff(now, teaselstream.ServerID(f[2]), "part is leaving")
 	case "tick":
 		return s.stream.Update(now, teaselstream.Tick{})
 	case "harmful":
--- a/meter/event.go
+++ b/meter/event.go
@@ -27,6 +27,10 @@
 	OrderUnknown Event = "OrderUnknown"
 	// StoreFailed counts calls to the store that failed.
 	StoreFailed Event = "StoreFailed"
+	// MoveWaits counts waits of streams that leave a lost server after more urgent ones.
+	MoveWaits Event = "MoveWaits"
+	// LeftSlow counts streams that were moved off a slow server.
+	LeftSlow Event = "LeftSlow"
 )
 
 // Count adds n to an event's counter.
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -67,6 +67,7 @@
 		stopping        stopState
 		downs           downSignal
 		ranks           rankIndex
+		departures      departures
 	}
 
 	// request is the state of one request in the handler.
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -10,6 +10,7 @@
 	"github.com/teaselstream/teaselstream/fleet"
 	"github.com/teaselstream/teaselstream/flow"
 	"github.com/teaselstream/teaselstream/memory"
+	"github.com/teaselstream/teaselstream/moves"
 )
 
 const (
@@ -42,6 +43,8 @@
 		lastEventAt time.Time
 		longestGap  time.Duration
 		moves       int
+		// askSlowAt is when the stream may next ask whether it leaves a slow server.
+		askSlowAt time.Time
 		// drainJitter in [0, 1) spreads the times at which streams leave the same draining server.
 		drainJitter float64
 	}
@@ -78,6 +81,9 @@
 		Resumable: r.route.Resumable || r.route.Idempotent, MaxServers: max(r.route.MaxServers, 1), LastEvent: r.head.LastEvent,
 		Objective: r.route.Objective, StallDelay: h.stallDelay(r.route),
 	}
+	if h.observed() {
+		s.core.Departure = s.departure
+	}
 	defer s.stop()
 	cmds := s.core.Update(time.Now(), flow.Start{})
 	timer := time.NewTimer(time.Hour)
@@ -109,6 +115,9 @@
 
 func (s *streamRunner) stop() {
 	close(s.done)
+	if s.core.Departure != nil {
+		s.handler.departures.update(time.Now(), moves.Ended{Request: s.head.Attempt})
+	}
 	s.abortAll()
 }
 
@@ -177,10 +186,13 @@
 				lost = append(lost, p.Server)
 			}
 		case m.State == fleet.Leaving && now.Sub(m.LeavingSince) > drain && s.handler.Notices.Wait(now, current.first.ID, current.first.Incarnation) <= 0 && s.outlastsDrain(now, m):
-			cmds = append(cmds, s.core.MoveOff(now, p.Server)...)
+			cmds = append(cmds, s.core.MoveOff(now, p.Server, "part is leaving")...)
 		}
 	}
 	s.lastView = v
+	if s.core.Departure != nil {
+		cmds = append(cmds, s.leaveSlow(now, v)...)
+	}
 	if current.events == 0 && !s.mayRun() {
 		return append(cmds, s.core.Update(now, flow.Harmful{})...)
 	}
