--- a/cmd/gate/observe.go
+++ b/cmd/gate/observe.go
@@ -12,6 +12,14 @@
 	"github.com/teaselstream/teaselstream/status"
 )
 
+// memoryMB returns the memory of the process if the VMs of its failure domain choose one of them by it, and 0 otherwise.
+func memoryMB(settings config.GateSettings) int {
+	if !settings.Domain.Observe {
+		return 0
+	}
+	return int(settings.Bounds.Memory >> 20)
+}
+
 // assembleStatus prepares the exchange with other VMs about servers, if the settings ask for it.
 func (p *process) assembleStatus(settings config.GateSettings, peers func() []fleet.Peer) {
 	p.status = &status.Service{
--- a/cmd/gate/serve.go
+++ b/cmd/gate/serve.go
@@ -150,7 +150,7 @@
 	p.controlLoop.crashReports, p.controlLoop.limitReports = publisher(watch.CrashReportPrefix), publisher(watch.LimitReportPrefix)
 	p.controlLoop.onPublish = p.shareBudget
 	p.shared = &share.Directory{
-		Directory: p.store, Self: fleet.Peer{Name: settings.VM.Name, Domain: settings.VM.Domain, Address: settings.Listen.Peers, Relay: settings.Listen.Relay},
+		Directory: p.store, Self: fleet.Peer{Name: settings.VM.Name, Domain: settings.VM.Domain, Address: settings.Listen.Peers, Relay: settings.Listen.Relay, MemoryMB: memoryMB(settings)},
 		Peers: peers, Log: p.log,
 	}
 	p.server = &proxy.Server{Serve: p.handler.Serve, Limits: p.limits, Log: p.log, Bodies: &p.bodies}
--- a/fleet/observed.go
+++ b/fleet/observed.go
@@ -164,7 +164,7 @@
 		r.Slowdown = float64(int(o.Report.Pace*paceSteps+0.5)) / paceSteps
 	}
 	r.Holds, r.Orders, r.reportedAt = o.Report.Holds, o.Report.Orders, at
-	r.LoadEstimate.RecordReport(at, o.Report.Running, o.Report.Waiting, float64(o.Report.CacheUsed)/float64(o.Report.CacheTotal))
+	r.LoadEstimate.RecordObserved(at, o.Report.Running, o.Report.Waiting, float64(o.Report.CacheUsed)/float64(o.Report.CacheTotal), c.domainVMs())
 	c.dirty = c.dirty || !sameMember(before, r.Member)
 }
 
@@ -219,3 +219,9 @@
 	}
 	return cmds
 }
+
+// domainVMs returns the number of VMs in this VM's failure domain, at least 1.
+func (c *Core) domainVMs() int {
+	v := View{Peers: c.peers}
+	return v.DomainVMs(c.Domain)
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -38,6 +38,8 @@
 		Address string
 		// Relay is the "host:port" at which the VM carries exchanges with servers for other VMs, or empty.
 		Relay string `json:",omitempty"`
+		// MemoryMB is the memory of the VM's process, or 0 if it is not known. VMs with more of it have more processor time too.
+		MemoryMB int `json:",omitempty"`
 	}
 
 	// View is an immutable snapshot of routing, backend servers and VMs.
--- a/flow/stall.go
+++ b/flow/stall.go
@@ -8,11 +8,13 @@
 )
 
 const (
-	// stallFactor is the number of usual pauses after which a stream stands still. Prompts that are read between two events double a pause now
-	// and then.
-	stallFactor = 2
-	// gapWeight is the weight of the newest pause in the moving mean.
+	// stallDeviations is the number of mean deviations beyond the mean pause after which a stream stands still, as for retransmission
+	// timers.
+	stallDeviations = 4
+	// gapWeight is the reciprocal of the weight of the newest pause in the moving means.
 	gapWeight = 8
+	// unknownDeviation is the reciprocal of the assumed deviation as a part of the first pause.
+	unknownDeviation = 2
 )
 
 // StreamStalled reports that the running attempt has had no event for longer than usual; other VMs may know which server of its path is
@@ -28,7 +30,9 @@
 }
 
 // stallAfter returns the time without an event after which the stream stands still.
-func (s *Stream) stallAfter() time.Duration { return max(s.StallDelay, stallFactor*s.meanGap) }
+func (s *Stream) stallAfter() time.Duration {
+	return max(s.StallDelay, s.meanGap+stallDeviations*s.gapDeviation)
+}
 
 // reportStall returns the report if it is due, and leaves servers that are known to be down by then.
 func (s *Stream) reportStall(now time.Time, silent time.Duration) []teaselstream.Cmd {
@@ -51,9 +55,11 @@
 	}
 	gap := now.Sub(s.lastEventAt)
 	if s.meanGap == 0 {
-		s.meanGap = gap
+		s.meanGap, s.gapDeviation = gap, gap/unknownDeviation
 	}
-	s.meanGap += (gap - s.meanGap) / gapWeight
+	off := gap - s.meanGap
+	s.meanGap += off / gapWeight
+	s.gapDeviation += (off.Abs() - s.gapDeviation) / gapWeight
 }
 
 // leastSilence returns the time without an event from which on a path with a server in avoid does not work any more. A stream that was reported
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -152,9 +152,10 @@
 		// from then to the next probe.
 		lastActivity time.Time
 		startedAt    time.Time
-		// lastEventAt is when the last event was delivered, and meanGap the moving mean of the time between two events.
-		lastEventAt time.Time
-		meanGap     time.Duration
+		// lastEventAt is when the last event was delivered; meanGap and gapDeviation are the moving mean and mean deviation of the time
+		// between two events.
+		lastEventAt           time.Time
+		meanGap, gapDeviation time.Duration
 		// turn is when the stream may leave the lost servers of its path.
 		turn turn
 		// stallReported means that the stream was reported as standing still since its last event.
--- a/status/codec.go
+++ b/status/codec.go
@@ -1,11 +1,8 @@
 package status
 
 import (
-	"bytes"
-	"compress/flate"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"time"
 
@@ -15,8 +12,8 @@
 )
 
 const (
-	// maxPlainBytes bounds a decompressed message; 4,096 records take about 700 KB.
-	maxPlainBytes = 1 << 20
+	// maxBytes bounds a message; 4,096 records take about 700 KB.
+	maxBytes = 1 << 20
 	// maxElements bounds the records, teams or stalled requests in a message. A failure domain has some hundred servers.
 	maxElements = 4096
 	// maxPaths and maxPathServers bound a report of streams that stand still.
@@ -45,32 +42,22 @@
 	return m
 }
 
-// encode returns a message as compressed CBOR.
+// encode returns a message as CBOR. It is not compressed: a message has some kilobytes, stays in the failure domain, and processor time is
+// scarcer than bytes there.
 func encode(x any) ([]byte, error) {
-	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	b, err := cbor.Marshal(x)
 	if err != nil {
-		return nil, fmt.Errorf("compress message: %w", err)
-	}
-	if err := cbor.NewEncoder(w).Encode(x); err != nil {
 		return nil, fmt.Errorf("encode message: %w", err)
 	}
-	if err := w.Close(); err != nil {
-		return nil, fmt.Errorf("compress message: %w", err)
-	}
-	return out.Bytes(), nil
+	return b, nil
 }
 
-// decode reads a message of at most maxPlainBytes; fields that are not known are ignored.
+// decode reads a message of at most maxBytes; fields that are not known are ignored.
 func decode(body []byte, x any) error {
-	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(body)), maxPlainBytes+1))
-	if err != nil {
-		return fmt.Errorf("decompress message: %w", err)
-	}
-	if len(plain) > maxPlainBytes {
-		return fmt.Errorf("decompress message: %w", errRange)
+	if len(body) > maxBytes {
+		return fmt.Errorf("decode message of %d bytes: %w", len(body), errRange)
 	}
-	if err := decoding.Unmarshal(plain, x); err != nil {
+	if err := decoding.Unmarshal(body, x); err != nil {
 		return fmt.Errorf("decode message: %w", err)
 	}
 	return nil
--- a/status/codec_test.go
+++ b/status/codec_test.go
@@ -1,8 +1,6 @@
 package status
 
 import (
-	"bytes"
-	"compress/flate"
 	"math"
 	"testing"
 	"time"
@@ -68,21 +66,8 @@
 			t.Errorf("%s: decoded %+v", name, got)
 		}
 	}
-	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err != nil {
-		t.Fatal(err)
-	}
-	for range 64 {
-		if _, err := w.Write(make([]byte, 1<<20)); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if err := w.Close(); err != nil {
-		t.Fatal(err)
-	}
-	if _, err := decodeAnswer(out.Bytes()); err == nil {
-		t.Error("a message of 64 MB was decoded")
+	if _, err := decodeAnswer(mustEncode(t, make([]byte, 4*maxBytes))); err == nil {
+		t.Error("a message of 4 MB was decoded")
 	}
 	if _, err := decodeStall(mustEncode(t, Stall{Paths: make([][]teaselstream.ServerID, maxPaths+1)})); err == nil {
 		t.Error("too many paths were decoded")
--- a/status/message.go
+++ b/status/message.go
@@ -45,15 +45,15 @@
 	Record struct {
 		Server      teaselstream.ServerID
 		Incarnation teaselstream.Incarnation
-		State       fleet.Reachability
+		State       fleet.Reachability `cbor:",omitempty"`
 		// Age is the time since then, and SilentFor for how long the server had been silent without a break.
 		Age       time.Duration
-		SilentFor time.Duration
-		CutOff    bool
+		SilentFor time.Duration `cbor:",omitempty"`
+		CutOff    bool          `cbor:",omitempty"`
 		Holds     teaselstream.LayerRange
 		Orders    teaselstream.Sequence
-		Running   int
-		Waiting   int
+		Running   int `cbor:",omitempty"`
+		Waiting   int `cbor:",omitempty"`
 		// CacheUsed and CacheTotal are in tokens times layers; CacheTotal is 0 if there was no report.
 		CacheUsed  int64
 		CacheTotal int64
--- a/status/observer.go
+++ b/status/observer.go
@@ -26,8 +26,11 @@
 	// stallTimeout is how long a server has to answer a look that follows from streams that stand still. It answers within some
 	// milliseconds, and callers expect the next event within a few hundred.
 	stallTimeout = 50 * time.Millisecond
-	// stallLookInterval is the least time between two such looks at one server.
+	// stallLookInterval is the least time between two such looks at one server. It doubles with each look that is answered, up to
+	// maxStallInterval, since the streams of slow servers stand still again and again, and begins anew after stallMemory without one.
 	stallLookInterval = 100 * time.Millisecond
+	maxStallInterval  = 1600 * time.Millisecond
+	stallMemory       = 4 * time.Second
 	// lookTime is how long a look without a result counts as under way.
 	lookTime = 500 * time.Millisecond
 )
@@ -49,7 +52,7 @@
 		// lookedAt is when the last look began; looking means that it has no result yet.
 		lookedAt, stallLookAt time.Time
 		looking               bool
-		period                time.Duration
+		period, stallInterval time.Duration
 		// stalls holds when streams on the server stood still, newest last.
 		stalls []time.Time
 	}
@@ -186,9 +189,13 @@
 		if len(x.stalls) > 4*stallWitnesses {
 			x.stalls = x.stalls[1:]
 		}
-		if len(x.stalls) < stallWitnesses || now.Sub(x.stallLookAt) < stallLookInterval {
+		if len(x.stalls) < stallWitnesses || now.Sub(x.stallLookAt) < x.stallInterval {
 			continue
 		}
+		x.stallInterval = min(2*x.stallInterval, maxStallInterval)
+		if now.Sub(x.stallLookAt) > stallMemory {
+			x.stallInterval = stallLookInterval
+		}
 		x.stallLookAt = now
 		cmds = append(cmds, o.look(now, m, stallTimeout, "streams stand still"))
 	}
--- a/status/service.go
+++ b/status/service.go
@@ -1,11 +1,13 @@
 package status
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -126,7 +128,7 @@
 	if len(names) < minVMs {
 		return nil, false
 	}
-	for _, name := range teaselstream.RendezvousOrder("status/"+string(s.Self.Domain), names)[:observersPerDomain] {
+	for _, name := range observers(s.Self.Domain, names, peers) {
 		if name == s.Self.Name {
 			return upstreams, true
 		}
@@ -135,6 +137,14 @@
 	return upstreams, false
 }
 
+// observers returns the VMs of a failure domain that may observe, in rank. Those with the most memory go first, since observing takes a
+// multiple of the processor time that the small VMs of some deployments have.
+func observers(d teaselstream.DomainID, names []teaselstream.VMID, peers map[teaselstream.VMID]fleet.Peer) []teaselstream.VMID {
+	ranked := teaselstream.RendezvousOrder("status/"+string(d), names)
+	slices.SortStableFunc(ranked, func(a, b teaselstream.VMID) int { return cmp.Compare(peers[b].MemoryMB, peers[a].MemoryMB) })
+	return ranked[:observersPerDomain]
+}
+
 // observe makes this VM the observer, or ends that.
 func (s *Service) observe(active bool) {
 	if s.observing.Swap(active) == active {
