--- a/cmd/gate/observe.go
+++ b/cmd/gate/observe.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/config"
 	"github.com/teaselstream/teaselstream/fleet"
 	"github.com/teaselstream/teaselstream/hconn"
@@ -24,7 +25,8 @@
 func (p *process) assembleStatus(settings config.GateSettings, peers func() []fleet.Peer) {
 	p.status = &status.Service{
 		Self: p.shared.Self, Peers: peers, Post: p.controlLoop.post, ReadReport: p.handler.ReadForOthers,
-		Teams: func() []status.TeamLoad { return nil }, SetTeams: func([]status.TeamLoad) {}, Log: p.log,
+		DomainOf: p.controlLoop.domainOf,
+		Teams:    func() []status.TeamLoad { return nil }, SetTeams: func([]status.TeamLoad) {}, Log: p.log,
 	}
 	p.controlLoop.status = p.status
 	if !settings.Domain.Observe || settings.Listen.Peers == "" {
@@ -55,3 +57,11 @@
 		c.log.Info("ServerSilent", "server", string(x.Server), "reason", x.Reason, "error", err)
 	}
 }
+
+// domainOf returns the failure domain of a server, or an empty one if it is not known.
+func (c *controlLoop) domainOf(id teaselstream.ServerID) teaselstream.DomainID {
+	if m := c.current().Members[id]; m != nil {
+		return m.Domain
+	}
+	return ""
+}
--- a/fleet/observed.go
+++ b/fleet/observed.go
@@ -67,7 +67,6 @@
 	observation struct {
 		at        time.Time
 		state     Reachability
-		cutOff    bool
 		stalledAt time.Time
 		lookedAt  time.Time
 	}
@@ -122,17 +121,18 @@
 			cmds = append(cmds, c.ownLook(now, r, "another VM found a later start")...)
 			continue
 		}
-		r.observed.at, r.observed.state, r.observed.cutOff = at, o.State, o.CutOff
-		cmds = append(cmds, c.weighObservation(now, r, o)...)
+		before := r.observed.state
+		r.observed.at, r.observed.state = at, o.State
+		cmds = append(cmds, c.weighObservation(now, r, o, before)...)
 	}
 	return cmds
 }
 
-// weighObservation follows what another VM has found out, which alone ends nothing.
-func (c *Core) weighObservation(now time.Time, r *memberRecord, o *Observation) []teaselstream.Cmd {
+// weighObservation follows what another VM has found out, which alone ends nothing. A server that answers it again is asked at once.
+func (c *Core) weighObservation(now time.Time, r *memberRecord, o *Observation, before Reachability) []teaselstream.Cmd {
 	switch {
 	case o.State == Answering && r.State == Down:
-		if r.observed.at.Before(r.DownSince) {
+		if before == Answering || r.observed.at.Before(r.DownSince) {
 			return nil
 		}
 		return c.ownLook(now, r, "answers another VM")
--- a/proxy/domain.go
+++ b/proxy/domain.go
@@ -71,9 +71,9 @@
 	}
 }
 
-// observedReport reads a server's report through the observing VM, if there is one and the server is in its failure domain.
+// observedReport reads a server's report through the observing VM, if there is one.
 func (h *Handler) observedReport(m *fleet.Member) (teaselstream.ReplicaReport, bool, error) {
-	if h.Observer == nil || m.Domain != h.View().Domain {
+	if h.Observer == nil {
 		return teaselstream.ReplicaReport{}, false, nil
 	}
 	return h.Observer.Report(m.ID)
--- a/proxy/rank.go
+++ b/proxy/rank.go
@@ -7,14 +7,6 @@
 	"github.com/teaselstream/teaselstream"
 )
 
-const (
-	// urgencyPerRank is the number of urgency levels of a rank: streams that resume go before new requests of their rank, since most of their
-	// work is done.
-	urgencyPerRank = 2
-	// maxUrgency is the last level of urgency; ranks beyond it share it.
-	maxUrgency = 9
-)
-
 type (
 	// ranks holds the distinct priorities of each service's stream routes and of teams with their own, the most urgent first.
 	ranks struct {
@@ -82,16 +74,3 @@
 	}
 	return 0, max(len(list), 1)
 }
-
-// urgency returns the level of urgency that servers are told, or a negative number if the service's requests all have one rank.
-func (r *request) urgency(resumed bool) int {
-	rank, count := r.rank()
-	if count < 2 {
-		return -1
-	}
-	level := urgencyPerRank * rank
-	if !resumed {
-		level++
-	}
-	return min(level, maxUrgency)
-}
--- a/proxy/running.go
+++ b/proxy/running.go
@@ -168,10 +168,8 @@
 			"lastEvent", c.LastEvent, "viewAgeMs", time.Since(s.handler.View().At).Milliseconds())
 	}
 	header := endToEndHeader(s.Header)
-	urgency := s.urgency(c.Attempt > 1 || s.head.LastEvent > 0)
 	s.handler.Dialect.Dispatch(header, teaselstream.Dispatch{
 		Team: s.caller.Team, Server: c.Path[0].Server, TimeLeft: s.timeLeft(time.Now()), Path: c.Path, LastEvent: c.LastEvent,
-		HasUrgency: urgency >= 0, Urgency: urgency,
 	})
 	m := &outgoingRequest{method: s.Method, target: s.Target, host: s.Host, header: header, body: s.Body, stream: true}
 	first := a.first
--- a/replica.go
+++ b/replica.go
@@ -130,9 +130,6 @@
 		Path     Path
 		// LastEvent is the event after which a stream resumes; 0 keeps the caller's value.
 		LastEvent uint64
-		// Urgency orders the requests that wait at a server if HasUrgency is set; 0 goes first and 9 last.
-		HasUrgency bool
-		Urgency    int
 	}
 
 	// AnswerHead holds the properties of a replica's answer that its status and headers state.
--- a/status/log.go
+++ b/status/log.go
@@ -24,7 +24,9 @@
 	entry struct {
 		record Record
 		seq    uint64
-		at     time.Time
+		// at is when the record was made, and foreign means that the observer of another failure domain made it.
+		at      time.Time
+		foreign bool
 	}
 
 	teamReport struct {
@@ -48,16 +50,18 @@
 	j.wake()
 }
 
-// add keeps a record, and wakes those that wait if it is news.
-func (j *journal) add(now time.Time, r Record, news bool) {
+// add keeps a record that was made at the given time, and wakes those that wait if it is news. A record of another failure domain is news if
+// the server's reachability has changed.
+func (j *journal) add(at time.Time, r Record, news, foreign bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.records == nil {
+	known, ok := j.records[r.Server]
+	if j.records == nil || !ok && len(j.records) >= maxElements || ok && foreign && at.Before(known.at) {
 		return
 	}
 	j.seq++
-	j.records[r.Server] = entry{r, j.seq, now}
-	if news {
+	j.records[r.Server] = entry{r, j.seq, at, foreign}
+	if news || foreign && (known.record.State != r.State || known.record.Incarnation != r.Incarnation) {
 		j.wake()
 	}
 }
@@ -80,8 +84,9 @@
 	return j.news
 }
 
-// since returns the records that a VM does not have yet, with their ages. Records of another boot do not count.
-func (j *journal) since(now time.Time, boot, after uint64) Answer {
+// since returns the records that a VM does not have yet, with their ages. Records of another boot do not count, and the observer of another
+// failure domain gets only those that this VM made.
+func (j *journal) since(now time.Time, boot, after uint64, own bool) Answer {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if boot != j.boot {
@@ -89,9 +94,9 @@
 	}
 	a := Answer{Boot: j.boot, Seq: j.seq}
 	for _, e := range j.records {
-		if e.seq > after && len(a.Records) < maxElements {
+		if e.seq > after && (!own || !e.foreign) && len(a.Records) < maxElements {
 			r := e.record
-			r.Age = now.Sub(e.at)
+			r.Age = max(now.Sub(e.at), 0)
 			a.Records = append(a.Records, r)
 		}
 	}
--- a/status/message.go
+++ b/status/message.go
@@ -63,6 +63,8 @@
 	// Ask is the request of a VM to the observing one.
 	Ask struct {
 		VM teaselstream.VMID
+		// Domain is the VM's failure domain; empty means that of the VM that is asked.
+		Domain teaselstream.DomainID `cbor:",omitempty"`
 		// Boot and After identify the newest answer that the VM has.
 		Boot  uint64
 		After uint64
@@ -87,7 +89,11 @@
 	}
 
 	// Stall is the body of a report about streams that stand still; each path is one stream's.
-	Stall struct{ Paths [][]teaselstream.ServerID }
+	Stall struct {
+		Paths [][]teaselstream.ServerID
+		// Forwarded means that the observer of another failure domain passes the report on.
+		Forwarded bool `cbor:",omitempty"`
+	}
 
 	// ReportAnswer is the observing VM's answer to a request for a server's report.
 	ReportAnswer struct {
--- a/status/server.go
+++ b/status/server.go
@@ -14,7 +14,7 @@
 }
 
 // Publish passes a record of the observing VM on to the others.
-func (s *Service) Publish(p Publish) { s.journal.add(time.Now(), p.Record, p.News) }
+func (s *Service) Publish(p Publish) { s.journal.add(time.Now(), p.Record, p.News, false) }
 
 // handleAsk answers with the records that a VM does not have, and holds the call until there is news.
 func (s *Service) handleAsk(c *fasthttp.RequestCtx) {
@@ -27,9 +27,12 @@
 		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
-	s.journal.setTeams(time.Now(), q.VM, q.Teams)
+	foreign := q.Domain != "" && q.Domain != s.Self.Domain
+	if !foreign {
+		s.journal.setTeams(time.Now(), q.VM, q.Teams)
+	}
 	news := s.journal.nextNews()
-	if a := s.journal.since(time.Now(), q.Boot, q.After); a.Boot == q.Boot && !hasNews(a.Records) {
+	if a := s.journal.since(time.Now(), q.Boot, q.After, foreign); a.Boot == q.Boot && !hasNews(a.Records) {
 		limit := time.NewTimer(holdTime)
 		select {
 		case <-news:
@@ -38,8 +41,10 @@
 		limit.Stop()
 	}
 	now := time.Now()
-	a := s.journal.since(now, q.Boot, q.After)
-	a.Teams = s.journal.teamLoads(now)
+	a := s.journal.since(now, q.Boot, q.After, foreign)
+	if !foreign {
+		a.Teams = s.journal.teamLoads(now)
+	}
 	s.respond(c, a)
 }
 
@@ -59,9 +64,11 @@
 		s.reject(c)
 		return
 	}
-	for _, path := range q.Paths {
-		s.Post(StreamStalled{Servers: path})
+	if !s.observing.Load() {
+		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
 	}
+	s.takeStalls(q)
 }
 
 func (s *Service) handleReport(c *fasthttp.RequestCtx) {
--- a/status/service.go
+++ b/status/service.go
@@ -62,6 +62,8 @@
 		Post func(teaselstream.Msg)
 		// ReadReport reads a server's report, or returns one that is at most 100 ms old.
 		ReadReport func(id teaselstream.ServerID) (teaselstream.ReplicaReport, error)
+		// DomainOf returns the failure domain of a server, or an empty one if the server is not known.
+		DomainOf func(id teaselstream.ServerID) teaselstream.DomainID
 		// Teams returns this VM's running requests by team and service.
 		Teams func() []TeamLoad
 		// SetTeams receives those of all VMs.
@@ -74,6 +76,7 @@
 		observer   atomic.Pointer[fleet.Peer]
 		answeredAt atomic.Int64
 		observing  atomic.Bool
+		foreign    foreignObservers
 		stalls     chan []teaselstream.ServerID
 		once       sync.Once
 		// rejected counts the messages that could not be read since the last log line.
@@ -117,32 +120,37 @@
 
 // role returns the VMs to ask in turn, and whether this VM observes if none of them answers.
 func (s *Service) role() (upstreams []fleet.Peer, mayObserve bool) {
+	ranked := observers(s.Self.Domain, s.Peers())
+	for _, p := range ranked {
+		if p.Name == s.Self.Name {
+			return upstreams, true
+		}
+		upstreams = append(upstreams, p)
+	}
+	return upstreams, false
+}
+
+// observers returns the VMs of a failure domain that may observe, in rank, or none if it has fewer than minVMs. Those with the most memory go
+// first, since observing takes a multiple of the processor time that the small VMs of some deployments have.
+func observers(d teaselstream.DomainID, all []fleet.Peer) []fleet.Peer {
 	peers := make(map[teaselstream.VMID]fleet.Peer)
 	var names []teaselstream.VMID
-	for _, p := range s.Peers() {
-		if p.Domain == s.Self.Domain && p.Address != "" {
+	for _, p := range all {
+		if p.Domain == d && p.Address != "" {
 			peers[p.Name] = p
 			names = append(names, p.Name)
 		}
 	}
 	if len(names) < minVMs {
-		return nil, false
-	}
-	for _, name := range observers(s.Self.Domain, names, peers) {
-		if name == s.Self.Name {
-			return upstreams, true
-		}
-		upstreams = append(upstreams, peers[name])
+		return nil
 	}
-	return upstreams, false
-}
-
-// observers returns the VMs of a failure domain that may observe, in rank. Those with the most memory go first, since observing takes a
-// multiple of the processor time that the small VMs of some deployments have.
-func observers(d teaselstream.DomainID, names []teaselstream.VMID, peers map[teaselstream.VMID]fleet.Peer) []teaselstream.VMID {
 	ranked := teaselstream.RendezvousOrder("status/"+string(d), names)
 	slices.SortStableFunc(ranked, func(a, b teaselstream.VMID) int { return cmp.Compare(peers[b].MemoryMB, peers[a].MemoryMB) })
-	return ranked[:observersPerDomain]
+	out := make([]fleet.Peer, observersPerDomain)
+	for i, name := range ranked[:observersPerDomain] {
+		out[i] = peers[name]
+	}
+	return out
 }
 
 // observe makes this VM the observer, or ends that.
@@ -150,6 +158,7 @@
 	if s.observing.Swap(active) == active {
 		return
 	}
+	s.foreign.stop()
 	s.Log.Info("Observer", "active", active, "domain", string(s.Self.Domain))
 	if active {
 		s.observer.Store(nil)
@@ -164,6 +173,7 @@
 // exchangeOwn passes on the teams of this VM and of those that ask it, for some time.
 func (s *Service) exchangeOwn(ctx context.Context, d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end) && ctx.Err() == nil; {
+		s.askForeign(ctx)
 		now := time.Now()
 		s.journal.setTeams(now, s.Self.Name, s.Teams())
 		s.SetTeams(s.journal.teamLoads(now))
@@ -204,11 +214,15 @@
 	s.answeredAt.Store(now.UnixNano())
 	s.boot, s.seq = a.Boot, a.Seq
 	s.SetTeams(a.Teams)
+	s.Post(observedMessage(p, a))
+}
+
+func observedMessage(p fleet.Peer, a Answer) fleet.Observed {
 	m := fleet.Observed{From: p.Name, Observations: make([]fleet.Observation, len(a.Records))}
 	for i, r := range a.Records {
 		m.Observations[i] = r.observation()
 	}
-	s.Post(m)
+	return m
 }
 
 func (r *Record) observation() fleet.Observation {
@@ -222,7 +236,11 @@
 }
 
 func (s *Service) ask(ctx context.Context, p fleet.Peer) (Answer, error) {
-	body, err := encode(Ask{VM: s.Self.Name, Boot: s.boot, After: s.seq, Teams: s.Teams()})
+	return s.exchange(ctx, p, Ask{VM: s.Self.Name, Domain: s.Self.Domain, Boot: s.boot, After: s.seq, Teams: s.Teams()})
+}
+
+func (s *Service) exchange(ctx context.Context, p fleet.Peer, q Ask) (Answer, error) {
+	body, err := encode(q)
 	if err != nil {
 		return Answer{}, err
 	}
@@ -320,9 +338,7 @@
 			paths = append(paths, <-s.stalls)
 		}
 		if s.observing.Load() {
-			for _, path := range paths {
-				s.Post(StreamStalled{Servers: path})
-			}
+			s.takeStalls(Stall{Paths: paths})
 			continue
 		}
 		p, ok := s.current()
--- a/status/service_test.go
+++ b/status/service_test.go
@@ -72,6 +72,7 @@
 		v.Post, v.Log = v.post, slog.New(slog.NewTextHandler(io.Discard, nil))
 		v.Teams = func() []TeamLoad { return []TeamLoad{{"model", "alpha", 1}} }
 		v.SetTeams = func([]TeamLoad) {}
+		v.DomainOf = func(teaselstream.ServerID) teaselstream.DomainID { return "" }
 		v.ReadReport = func(teaselstream.ServerID) (teaselstream.ReplicaReport, error) {
 			return teaselstream.ReplicaReport{Running: 3}, nil
 		}
