--- a/status/service_test.go
+++ b/status/service_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -24,6 +25,19 @@
 	stop     context.CancelFunc
 	mu       sync.Mutex
 	messages []teaselstream.Msg
+	peers    []fleet.Peer
+}
+
+func (v *testVM) setPeers(peers []fleet.Peer) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.peers = peers
+}
+
+func (v *testVM) currentPeers() []fleet.Peer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.peers
 }
 
 func (v *testVM) post(m teaselstream.Msg) {
@@ -49,6 +63,11 @@
 // startVMs starts VMs of one domain in the order in which they observe. The last one is of an old build if wanted, which does not know
 // the paths of this package.
 func startVMs(t *testing.T, count int, old func(rank int) bool) []*testVM {
+	t.Helper()
+	return startVMsIn(t, "near", count, old)
+}
+
+func startVMsIn(t *testing.T, domain teaselstream.DomainID, count int, old func(rank int) bool) []*testVM {
 	t.Helper()
 	var peers []fleet.Peer
 	byName := make(map[teaselstream.VMID]*testVM)
@@ -57,7 +76,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		p := fleet.Peer{Name: teaselstream.VMID(fmt.Sprintf("vm%d", i)), Domain: "near", Address: l.Addr().String()}
+		p := fleet.Peer{Name: teaselstream.VMID(fmt.Sprintf("%s-vm%d", domain, i)), Domain: domain, Address: l.Addr().String()}
 		peers = append(peers, p)
 		byName[p.Name] = &testVM{listener: l, Service: Service{Self: p}}
 	}
@@ -66,13 +85,17 @@
 		names = append(names, p.Name)
 	}
 	var vms []*testVM
-	for rank, name := range teaselstream.RendezvousOrder("status/near", names) {
+	for rank, name := range teaselstream.RendezvousOrder("status/"+string(domain), names) {
 		v := byName[name]
-		v.Peers = func() []fleet.Peer { return peers }
+		v.setPeers(peers)
+		v.Peers = v.currentPeers
 		v.Post, v.Log = v.post, slog.New(slog.NewTextHandler(io.Discard, nil))
 		v.Teams = func() []TeamLoad { return []TeamLoad{{"model", "alpha", 1}} }
 		v.SetTeams = func([]TeamLoad) {}
-		v.DomainOf = func(teaselstream.ServerID) teaselstream.DomainID { return "" }
+		v.DomainOf = func(id teaselstream.ServerID) teaselstream.DomainID {
+			_, d, _ := strings.Cut(string(id), "-")
+			return teaselstream.DomainID(d)
+		}
 		v.ReadReport = func(teaselstream.ServerID) (teaselstream.ReplicaReport, error) {
 			return teaselstream.ReplicaReport{Running: 3}, nil
 		}
@@ -204,3 +227,29 @@
 		t.Errorf("reported %s, want %s", a, l.Addr())
 	}
 }
+
+// Guards against a VM that does not learn of a server of another failure domain, on which its streams may run too, and against records that go
+// back and forth between two domains.
+func TestNewsOfOtherDomains(t *testing.T) {
+	near, far := startVMs(t, 5, nil), startVMsIn(t, "far", 5, nil)
+	all := append(slices.Clone(near[0].Peers()), far[0].Peers()...)
+	for _, v := range slices.Concat(near, far) {
+		v.setPeers(all)
+	}
+	for _, v := range slices.Concat(near[1:], far[1:]) {
+		eventually(t, "VM knows the observer", v.Known)
+	}
+	eventually(t, "observer knows that of the other domain", func() bool { _, ok := near[0].foreign.get("far"); return ok })
+	far[0].Publish(Publish{Record: Record{Server: "s-far", State: fleet.Ended}, News: true})
+	eventually(t, "VM knows that the other domain's server ended", func() bool { return near[4].knows("s-far", fleet.Ended) })
+	near[4].Stalled([]teaselstream.ServerID{"s-near", "s-far"})
+	eventually(t, "the other domain's observer knows that a stream stands still", func() bool {
+		return far[0].has(func(m teaselstream.Msg) bool {
+			s, ok := m.(StreamStalled)
+			return ok && slices.Equal(s.Servers, []teaselstream.ServerID{"s-far"})
+		})
+	})
+	if a := near[0].journal.since(time.Now(), 0, 0, true); len(a.Records) != 0 {
+		t.Errorf("the other domain is told of its own servers: %+v", a.Records)
+	}
+}
