--- a/ramp/tracker_test.go
+++ b/ramp/tracker_test.go
@@ -115,14 +115,14 @@
 	return d
 }
 
-// Guards against counts that another build cannot read, and against messages that grow with the fleet.
-func TestCountsAreBoundedAndEncode(t *testing.T) {
+// Guards against counts that another build cannot read, and against messages or state that grow with the fleet.
+func TestStateIsBoundedAndCountsEncode(t *testing.T) {
 	var k Tracker
 	now := time.Unix(1000, 0)
 	for i := range 3 * maxSamples {
 		id := teaselstream.ServerID(fmt.Sprintf("s%03d", i))
 		k.Update(now, Started{id, 1, ReasonStarted})
-		k.Update(now, Refused{id, 1})
+		k.Update(now, Answered{id, 1, 0, time.Second})
 	}
 	seen := map[teaselstream.ServerID]bool{}
 	for range 3 {
@@ -136,14 +136,24 @@
 			t.Fatalf("%d counts in %d bytes, %v", len(decoded), len(data), err)
 		}
 		for _, x := range decoded {
-			seen[teaselstream.ServerID(x["Server"].(string))] = x["Refused"] == uint64(1)
+			if x["OnTime"] == uint64(1) {
+				seen[teaselstream.ServerID(x["Server"].(string))] = true
+			}
+		}
+		// Servers that answer again do not keep the others from being returned.
+		for _, x := range counts {
+			k.Update(now, Answered{x.Server, 1, 0, time.Second})
 		}
-		// A server that is refused again does not keep the others from being returned.
-		k.Update(now, Refused{"s000", 1})
 	}
-	if len(seen) != 3*maxSamples-1 && len(seen) != 3*maxSamples {
+	if len(seen) != 3*maxSamples {
 		t.Errorf("counts of %d servers were returned, want those of all", len(seen))
 	}
+	for i := range 2 * maxServers {
+		k.Update(now, Started{teaselstream.ServerID(strconv.Itoa(i)), 1, ReasonStarted})
+	}
+	if len(k.servers) > maxServers {
+		t.Errorf("state of %d servers, want at most %d", len(k.servers), maxServers)
+	}
 }
 
 // Guards against shares outside (0, 1], state that grows without bound, and odd messages that change a share.
