--- a/ramp/load_test.go
+++ b/ramp/load_test.go
@@ -56,7 +56,7 @@
 }
 
 func (r result) String() string {
-	return fmt.Sprintf("%4d late, %4d refused, given in each of the first 6 s %v", r.late, r.refused, r.given[:6])
+	return fmt.Sprintf("%4d late, %4d refused, given in each second %v", r.late, r.refused, r.given)
 }
 
 // Load: 25 VMs with 75 requests a second in all and a server that comes back empty. Guards against more late answers and refusals
