--- a/chain/chain.go
+++ b/chain/chain.go
@@ -102,7 +102,30 @@
 		return nil, 0, false
 	}
 	s := &search{planner: p, now: now, view: v, engine: engine, request: a}
-	members := s.usableMembers()
+	all := s.usableMembers()
+	members := p.draw(all, a.First)
+	path, step, ok = s.plan(members)
+	if !ok && len(members) < len(all) {
+		// The servers that the draw left out are the only ones for some layers.
+		return s.plan(all)
+	}
+	return path, step, ok
+}
+
+// draw leaves out servers whose pace is being found, each for all but its share of the plans.
+func (p *Planner) draw(members []*fleet.Member, first teaselstream.ServerID) []*fleet.Member {
+	if p.Rand == nil {
+		return members
+	}
+	leftOut := func(m *fleet.Member) bool { return m.Share > 0 && m.ID != first && !m.Draws(p.Rand.Float64()) }
+	if !slices.ContainsFunc(members, func(m *fleet.Member) bool { return m.Share > 0 }) {
+		return members
+	}
+	return slices.DeleteFunc(slices.Clone(members), leftOut)
+}
+
+// plan returns the cheapest path over some members.
+func (s *search) plan(members []*fleet.Member) (teaselstream.Path, time.Duration, bool) {
 	s.indexStates(members)
 	s.meanAnswer = s.meanAnswerTime(members)
 	for i := range s.boundaries {
--- a/cmd/gate/control.go
+++ b/cmd/gate/control.go
@@ -15,6 +15,7 @@
 	"github.com/teaselstream/teaselstream/fleet"
 	"github.com/teaselstream/teaselstream/proxy"
 	"github.com/teaselstream/teaselstream/quota"
+	"github.com/teaselstream/teaselstream/ramp"
 	"github.com/teaselstream/teaselstream/reach"
 	"github.com/teaselstream/teaselstream/status"
 	"github.com/teaselstream/teaselstream/watch"
@@ -38,6 +39,8 @@
 		// observer looks at servers for other VMs while this VM is the one that does, and status tells them.
 		observer status.Observer
 		status   *status.Service
+		// pacer finds the pace of servers that have started or recovered.
+		pacer pacer
 		// isolated means that this VM reaches no server.
 		isolated atomic.Bool
 		vm       teaselstream.VMID
@@ -73,6 +76,7 @@
 		core:     fleet.Core{Domain: settings.VM.Domain},
 		decider:  cover.Decider{VM: settings.VM.Name, Domain: settings.VM.Domain},
 		observer: status.Observer{Domain: settings.VM.Domain},
+		pacer:    pacer{on: settings.Domain.Pace, tracker: ramp.Tracker{VM: settings.VM.Name}},
 		inbox:    make(chan teaselstream.Msg, inboxSize), log: log,
 	}
 	c.view.Store(&fleet.View{Domain: settings.VM.Domain})
@@ -125,6 +129,8 @@
 			c.execute(ctx, c.quotas.Update(now, teaselstream.Tick{}))
 			c.execute(ctx, c.reach.Update(now, teaselstream.Tick{}))
 			c.execute(ctx, c.observer.Update(now, teaselstream.Tick{}))
+			c.execute(ctx, c.pacer.update(now, teaselstream.Tick{}))
+			c.pacer.collect()
 			c.closeSilentStreams(now)
 			c.execute(ctx, c.decider.Update(now, cover.ViewTick{View: c.current(), Limited: c.limited}))
 		}
@@ -147,6 +153,22 @@
 	case fleet.ReportReceived:
 		c.execute(ctx, c.core.Update(now, m))
 		c.execute(ctx, c.observer.Update(now, status.Looked{Server: m.Server, Report: m.Report}))
+		c.reported(ctx, now, m.Server, &m.Report, 0)
+	case fleet.Observed:
+		c.execute(ctx, c.core.Update(now, m))
+		for i := range m.Observations {
+			o := &m.Observations[i]
+			if o.State == fleet.Answering && o.Report.CacheTotal > 0 {
+				c.reported(ctx, now, o.Server, &o.Report, o.Age)
+			}
+		}
+	case ramp.Answered, ramp.Samples, ramp.Shared:
+		c.execute(ctx, c.pacer.update(now, m))
+	case fleet.WorkRefused:
+		c.execute(ctx, c.core.Update(now, m))
+		if x := c.current().Members[m.Server]; x != nil && x.Share > 0 {
+			c.execute(ctx, c.pacer.update(now, ramp.Refused{Server: m.Server, Incarnation: x.Incarnation}))
+		}
 	case fleet.PeersListed:
 		c.execute(ctx, c.core.Update(now, m))
 		c.execute(ctx, c.tracker.Update(now, crash.Peers{Self: c.vm, VMs: peerNames(m.Peers)}))
@@ -199,6 +221,12 @@
 			go c.readReport(x)
 		case fleet.CheckEnded:
 			go c.handler.CheckEnded(x)
+		case fleet.Returned:
+			c.started(ctx, time.Now(), x)
+		case ramp.SetShare:
+			c.setShare(ctx, time.Now(), x)
+		case ramp.LogChange:
+			c.log.Info("ServerShare", "server", string(x.Server), "share", x.Share, "reason", x.Reason)
 		case status.Look:
 			go c.look(x)
 		case status.Publish:
--- a/cmd/gate/observe.go
+++ b/cmd/gate/observe.go
@@ -25,8 +25,8 @@
 func (p *process) assembleStatus(settings config.GateSettings, peers func() []fleet.Peer) {
 	p.status = &status.Service{
 		Self: p.shared.Self, Peers: peers, Post: p.controlLoop.post, ReadReport: p.handler.ReadForOthers,
-		DomainOf: p.controlLoop.domainOf,
-		Teams:    func() []status.TeamLoad { return nil }, SetTeams: func([]status.TeamLoad) {}, Log: p.log,
+		DomainOf: p.controlLoop.domainOf, Samples: p.controlLoop.pacer.takeCounts, Shares: p.controlLoop.pacer.found,
+		Teams: func() []status.TeamLoad { return nil }, SetTeams: func([]status.TeamLoad) {}, Log: p.log,
 	}
 	p.controlLoop.status = p.status
 	if !settings.Domain.Observe || settings.Listen.Peers == "" {
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -69,7 +69,10 @@
 		storeChangedAt time.Time
 		storeReturned  bool
 		dirty          bool
-		tickedAt       time.Time
+		// listed means that the first list of replicas was read; returns holds the servers that take work again since the last message.
+		listed   bool
+		returns  []Returned
+		tickedAt time.Time
 		// lastRefusals holds the last refusal over each link; cutLinks holds the time until which a link counts as cut.
 		lastRefusals map[Link]refusal
 		cutLinks     map[Link]time.Time
@@ -139,6 +142,8 @@
 		cmds = c.markDown(now, m)
 	case ServersIsolated:
 		cmds = c.clearDown(m.Since)
+	case ShareFound:
+		c.applyShare(m)
 	case Observed:
 		cmds = c.applyObserved(now, m)
 	case StreamStalled:
@@ -158,7 +163,7 @@
 	case teaselstream.Tick:
 		cmds = c.tick(now)
 	}
-	return c.publish(now, cmds)
+	return append(c.publish(now, cmds), c.takeReturns()...)
 }
 
 func (c *Core) publish(now time.Time, cmds []teaselstream.Cmd) []teaselstream.Cmd {
@@ -200,6 +205,7 @@
 			cmds = append(cmds, c.applyRemoval(now, id, m.Age)...)
 		}
 	}
+	c.listed = true
 	return cmds
 }
 
@@ -217,6 +223,7 @@
 	if r == nil {
 		c.members[x.ID] = &memberRecord{Member: Member{Replica: x, Slowdown: 1, LoadEstimate: &LoadEstimate{}}, listedLayers: x.Holds}
 		c.members[x.ID].updateDraining(now, x.Draining, age)
+		c.startedPlain(c.members[x.ID])
 		c.dirty = true
 		return []teaselstream.Cmd{LogEvent{Event: "ServerListed", Server: x.ID}}
 	}
@@ -229,6 +236,7 @@
 		// A restarted replica has lost its layers, and observations of its earlier incarnation do not apply.
 		*r = memberRecord{Member: Member{Replica: x, Slowdown: 1, LoadEstimate: r.LoadEstimate}, listedLayers: x.Holds}
 		cmds = append(cmds, LogEvent{Event: "ServerRestarted", Server: x.ID})
+		c.startedPlain(r)
 	} else {
 		holds := r.Holds
 		if x.Holds != r.listedLayers || now.Sub(r.reportedAt) > reportMaxAge {
@@ -240,6 +248,7 @@
 		orders := r.Orders
 		r.Replica = x
 		r.Holds, r.Orders = holds, orders
+		c.compareHolds(r, before.Holds)
 	}
 	r.expiredAt, r.removedAt, r.lapsed = time.Time{}, time.Time{}, false
 	if cmd, ok := r.updateDraining(now, x.Draining, age); ok {
@@ -347,7 +356,9 @@
 	if r.State == Down {
 		cmds = append(cmds, LogEvent{Event: "ServerAnswers", Server: r.ID, Age: now.Sub(r.DownSince)})
 		r.endDown()
+		c.returned(r, AnswersAgain)
 	}
+	c.compareHolds(r, before.Holds)
 	c.dirty = c.dirty || !sameMember(before, r.Member)
 	return cmds
 }
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -101,6 +101,19 @@
 		Range  teaselstream.LayerRange
 	}
 
+	// ShareFound sets the share of new work that a server gets while its pace is being found; 1 ends that.
+	ShareFound struct {
+		Server teaselstream.ServerID
+		Share  float64
+	}
+
+	// Returned reports that a server takes work that did not before: it has started, answers again or holds other layers.
+	Returned struct {
+		Server      teaselstream.ServerID
+		Incarnation teaselstream.Incarnation
+		Cause       ReturnCause
+	}
+
 	// PublishView replaces the view that request handlers read.
 	PublishView struct{ View *View }
 
--- a/fleet/observed.go
+++ b/fleet/observed.go
@@ -165,6 +165,7 @@
 	}
 	r.Holds, r.Orders, r.reportedAt = o.Report.Holds, o.Report.Orders, at
 	r.LoadEstimate.RecordObserved(at, o.Report.Running, o.Report.Waiting, float64(o.Report.CacheUsed)/float64(o.Report.CacheTotal), c.domainVMs())
+	c.compareHolds(r, before.Holds)
 	c.dirty = c.dirty || !sameMember(before, r.Member)
 }
 
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -26,7 +26,9 @@
 		DownSince time.Time
 		Ended     bool
 		// CutOff means that the server has been silent without a break for longer than a sound one is.
-		CutOff       bool
+		CutOff bool
+		// Share is the share of new work that the server gets where others can do it, below 1 while its pace is being found; 0 means 1.
+		Share        float64
 		LoadEstimate *LoadEstimate
 	}
 
@@ -100,6 +102,9 @@
 	return false
 }
 
+// Draws reports whether a server takes part in a choice, for a random number in [0, 1).
+func (m *Member) Draws(draw float64) bool { return m.Share == 0 || draw < m.Share }
+
 // DomainVMs returns the number of VMs in a failure domain, at least 1.
 func (v *View) DomainVMs(d teaselstream.DomainID) int {
 	n := 0
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -75,6 +75,9 @@
 			continue
 		}
 		score := b.score(now, v, m)
+		if m.Share > 0 && b.Rand != nil && !m.Draws(b.Rand.Float64()) {
+			score += undrawnPenalty
+		}
 		if best == nil || score < bestScore {
 			best, bestScore = m, score
 		}
@@ -87,6 +90,9 @@
 	return best
 }
 
+// undrawnPenalty ranks a replica whose pace is being found, and that the draw leaves out, behind all but ejected ones.
+const undrawnPenalty = 100.0
+
 // ejectedPenalty ranks ejected replicas behind all others; one is still chosen if no other replica is left.
 const ejectedPenalty = 1000.0
 
@@ -172,6 +178,15 @@
 	}
 }
 
+// ForgetLatency forgets how fast a replica was, so that one that was slow after its start is measured anew.
+func (b *Balancer) ForgetLatency(id teaselstream.ServerID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.replicas[id]; r != nil {
+		r.latency = 0
+	}
+}
+
 // RecordLoad records the load that a replica reports in a response.
 func (b *Balancer) RecordLoad(now time.Time, m *fleet.Member, a teaselstream.AnswerHead) {
 	if !a.HasLoad {
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -168,6 +168,9 @@
 		}
 		s.elapsed = time.Since(now)
 		h.recordResult(ctx, s)
+		if s.err == nil && !s.upstreamResponse.head.NotRun {
+			h.reportCallPace(s, c.route)
+		}
 		c.results <- s
 	}()
 }
--- a/proxy/domain.go
+++ b/proxy/domain.go
@@ -7,6 +7,7 @@
 	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/fleet"
 	"github.com/teaselstream/teaselstream/flow"
+	"github.com/teaselstream/teaselstream/ramp"
 )
 
 // stallShare is the share of the route's objective for pauses after which a stream may be reported as standing still. The rest is for
@@ -94,3 +95,30 @@
 		h.Post(fleet.Unreachable{Server: x.Server, Incarnation: x.Incarnation, Ended: true, Reason: "ended for another VM, and refuses connections"})
 	}
 }
+
+// reportPace reports the time to the first event to the control loop, for the servers of the path whose pace is being found.
+func (s *streamRunner) reportPace(now time.Time) {
+	took := now.Sub(s.current().openedAt)
+	expected := s.handler.firstEvents.mean()
+	v := s.handler.View()
+	found := false
+	for _, p := range s.core.Path {
+		if m := v.Members[p.Server]; m != nil && m.Share > 0 {
+			found = true
+			s.handler.post(ramp.Answered{Server: m.ID, Incarnation: m.Incarnation, Took: took, Expected: expected})
+		}
+	}
+	if !found {
+		s.handler.firstEvents.add(took)
+	}
+}
+
+// reportCallPace does the same with the time of a call to a plain replica.
+func (h *Handler) reportCallPace(s sendResult, r *teaselstream.Route) {
+	m := h.View().Members[s.member.ID]
+	if m == nil || m.Share == 0 {
+		return
+	}
+	expected, _ := h.durations.of(r)
+	h.post(ramp.Answered{Server: m.ID, Incarnation: m.Incarnation, Took: s.elapsed, Expected: expected})
+}
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -63,6 +63,7 @@
 		// receivedAt is when the last byte arrived from a server, in Unix nanoseconds, or 0.
 		receivedAt      atomic.Int64
 		streamDurations streamDurations
+		firstEvents     streamDurations
 		durations       routeDurations
 		stopping        stopState
 		downs           downSignal
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -258,6 +258,7 @@
 		}
 		s.firstEventDelay = now.Sub(s.Arrived)
 		s.class.FirstToken(s.firstEventDelay)
+		s.reportPace(now)
 	} else {
 		s.longestGap = max(s.longestGap, now.Sub(s.lastEventAt))
 		s.class.TokenGap(now.Sub(s.lastEventAt))
--- a/status/message.go
+++ b/status/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/fleet"
+	"github.com/teaselstream/teaselstream/ramp"
 )
 
 type (
@@ -70,6 +71,15 @@
 		After uint64
 		// Teams holds the VM's running requests by team and service.
 		Teams []TeamLoad `cbor:",omitempty"`
+		// Samples counts the answers of servers whose pace is being found.
+		Samples []ramp.Sample `cbor:",omitempty"`
+	}
+
+	// Share is the share of new work that a server gets while its pace is being found.
+	Share struct {
+		Server      teaselstream.ServerID
+		Incarnation teaselstream.Incarnation
+		Share       float64
 	}
 
 	// TeamLoad counts the running requests of one team to one service.
@@ -86,6 +96,8 @@
 		Records []Record
 		// Teams holds the running requests by team and service of all VMs that ask.
 		Teams []TeamLoad `cbor:",omitempty"`
+		// Shares holds the shares that the observing VM has found.
+		Shares []Share `cbor:",omitempty"`
 	}
 
 	// Stall is the body of a report about streams that stand still; each path is one stream's.
--- a/status/server.go
+++ b/status/server.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/ramp"
 )
 
 // Handlers returns the handlers of the paths that other VMs call.
@@ -30,6 +31,9 @@
 	foreign := q.Domain != "" && q.Domain != s.Self.Domain
 	if !foreign {
 		s.journal.setTeams(time.Now(), q.VM, q.Teams)
+		if len(q.Samples) > 0 {
+			s.Post(ramp.Samples{From: q.VM, Counts: q.Samples})
+		}
 	}
 	news := s.journal.nextNews()
 	if a := s.journal.since(time.Now(), q.Boot, q.After, foreign); a.Boot == q.Boot && !hasNews(a.Records) {
@@ -43,7 +47,7 @@
 	now := time.Now()
 	a := s.journal.since(now, q.Boot, q.After, foreign)
 	if !foreign {
-		a.Teams = s.journal.teamLoads(now)
+		a.Teams, a.Shares = s.journal.teamLoads(now), s.Shares()
 	}
 	s.respond(c, a)
 }
--- a/status/service.go
+++ b/status/service.go
@@ -17,6 +17,7 @@
 	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/fleet"
 	"github.com/teaselstream/teaselstream/hconn"
+	"github.com/teaselstream/teaselstream/ramp"
 )
 
 const (
@@ -66,6 +67,9 @@
 		DomainOf func(id teaselstream.ServerID) teaselstream.DomainID
 		// Teams returns this VM's running requests by team and service.
 		Teams func() []TeamLoad
+		// Samples returns what this VM has counted since the last call, and Shares the shares that it has found.
+		Samples func() []ramp.Sample
+		Shares  func() []Share
 		// SetTeams receives those of all VMs.
 		SetTeams func([]TeamLoad)
 		Log      *slog.Logger
@@ -215,6 +219,9 @@
 	s.boot, s.seq = a.Boot, a.Seq
 	s.SetTeams(a.Teams)
 	s.Post(observedMessage(p, a))
+	for _, x := range a.Shares {
+		s.Post(ramp.Shared{Server: x.Server, Incarnation: x.Incarnation, Share: x.Share, At: now})
+	}
 }
 
 func observedMessage(p fleet.Peer, a Answer) fleet.Observed {
@@ -236,7 +243,7 @@
 }
 
 func (s *Service) ask(ctx context.Context, p fleet.Peer) (Answer, error) {
-	return s.exchange(ctx, p, Ask{VM: s.Self.Name, Domain: s.Self.Domain, Boot: s.boot, After: s.seq, Teams: s.Teams()})
+	return s.exchange(ctx, p, Ask{VM: s.Self.Name, Domain: s.Self.Domain, Boot: s.boot, After: s.seq, Teams: s.Teams(), Samples: s.Samples()})
 }
 
 func (s *Service) exchange(ctx context.Context, p fleet.Peer, q Ask) (Answer, error) {
--- a/status/service_test.go
+++ b/status/service_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/fleet"
+	"github.com/teaselstream/teaselstream/ramp"
 )
 
 // testVM is a Service on loopback that keeps the messages to its control loop.
@@ -92,6 +93,8 @@
 		v.Post, v.Log = v.post, slog.New(slog.NewTextHandler(io.Discard, nil))
 		v.Teams = func() []TeamLoad { return []TeamLoad{{"model", "alpha", 1}} }
 		v.SetTeams = func([]TeamLoad) {}
+		v.Samples = func() []ramp.Sample { return []ramp.Sample{{Server: "s9", OnTime: 1}} }
+		v.Shares = func() []Share { return []Share{{Server: "s9", Share: 0.5}} }
 		v.DomainOf = func(id teaselstream.ServerID) teaselstream.DomainID {
 			_, d, _ := strings.Cut(string(id), "-")
 			return teaselstream.DomainID(d)
@@ -150,6 +153,12 @@
 	eventually(t, "observer knows that a stream stands still", func() bool {
 		return vms[0].has(func(m teaselstream.Msg) bool { _, ok := m.(StreamStalled); return ok })
 	})
+	eventually(t, "observer has the counts of another VM", func() bool {
+		return vms[0].has(func(m teaselstream.Msg) bool { x, ok := m.(ramp.Samples); return ok && len(x.Counts) == 1 })
+	})
+	eventually(t, "VM has the share that the observer found", func() bool {
+		return vms[5].has(func(m teaselstream.Msg) bool { x, ok := m.(ramp.Shared); return ok && x.Share == 0.5 })
+	})
 	if r, ok, err := vms[5].Report("s1"); !ok || err != nil || r.Running != 3 {
 		t.Errorf("Report() = %+v, %t, %v; want that of the observer", r, ok, err)
 	}
