--- a/fleet/load.go
+++ b/fleet/load.go
@@ -33,33 +33,18 @@
 		waiting     int
 		cache       float64
 		ownRequests int64
-		// vms is the number of VMs that are assumed to have started and ended as many requests since as this one.
-		vms int
 	}
 )
 
 // RecordReport records the running and waiting requests that a server reports, and the fraction of its cache memory in
-// use; a negative fraction means that the report does not contain it. A report that is older than the last one is dropped.
+// use; a negative fraction means that the report does not contain it.
 func (u *LoadEstimate) RecordReport(now time.Time, running, waiting int, cache float64) {
-	u.record(now, running, waiting, cache, 1)
-}
-
-// RecordObserved records a report that another VM has read at the given time. All VMs of the failure domain know it, and would choose the same
-// servers until the next one; each takes its own requests since then for those of all of them, so that they spread.
-func (u *LoadEstimate) RecordObserved(at time.Time, running, waiting int, cache float64, vms int) {
-	u.record(at, running, waiting, cache, max(vms, 1))
-}
-
-func (u *LoadEstimate) record(now time.Time, running, waiting int, cache float64, vms int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if now.Before(u.lastReport.at) {
-		return
-	}
 	if cache < 0 {
 		cache = u.lastReport.cache
 	}
-	u.lastReport = lastReport{at: now, running: running, waiting: waiting, cache: cache, ownRequests: u.OwnRequests.Load(), vms: vms}
+	u.lastReport = lastReport{at: now, running: running, waiting: waiting, cache: cache, ownRequests: u.OwnRequests.Load()}
 }
 
 // TotalRequests estimates the running and waiting requests of all VMs at the server: its last report plus the requests
@@ -70,7 +55,7 @@
 	if u.lastReport.at.IsZero() || now.Sub(u.lastReport.at) > loadMaxAge {
 		return 0, false
 	}
-	return max(u.lastReport.running+u.lastReport.waiting+u.change(), 0), true
+	return max(u.lastReport.running+u.lastReport.waiting+int(u.OwnRequests.Load()-u.lastReport.ownRequests), 0), true
 }
 
 // Wait estimates how long a new request queues at the server if each request runs for perRequest; it is 0 if the last
@@ -86,17 +71,12 @@
 	return perRequest * time.Duration(waiting) / time.Duration(s.running)
 }
 
-// NewSinceReport estimates the number of requests that were started at the server since its last report, minus those that ended:
-// this VM's own, and as many of each other VM if that report came through another one.
+// NewSinceReport returns the number of requests that this VM started at the server since its last report, minus those
+// that ended.
 func (u *LoadEstimate) NewSinceReport() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.change()
-}
-
-// change estimates by how many requests the load has changed since the last report. The caller holds the lock.
-func (u *LoadEstimate) change() int {
-	return int(u.OwnRequests.Load()-u.lastReport.ownRequests) * max(u.lastReport.vms, 1)
+	return int(u.OwnRequests.Load() - u.lastReport.ownRequests)
 }
 
 // CacheUtilization returns the fraction of cache memory in use that the server last reported; ok is false without a
--- a/fleet/observed.go
+++ b/fleet/observed.go
@@ -137,7 +137,7 @@
 		}
 		return c.ownLook(now, r, "answers another VM")
 	case o.State == Answering:
-		c.applyObservedLoad(now, r, o)
+		c.applyObservedReport(now, r, o)
 		return nil
 	case r.State == Down:
 		if o.CutOff && !r.CutOff && !r.Ended {
@@ -153,8 +153,9 @@
 	return c.avoidObserved(now, r)
 }
 
-// applyObservedLoad takes over the load, the pace and the layers of a server that answers another VM, unless this VM knows later ones.
-func (c *Core) applyObservedLoad(now time.Time, r *memberRecord, o *Observation) {
+// applyObservedReport takes over the pace and the layers of a server that answers another VM, unless this VM knows later ones. Its load is not
+// used: all VMs then chose the same servers until the next report, and the first to be full refused them.
+func (c *Core) applyObservedReport(now time.Time, r *memberRecord, o *Observation) {
 	at := now.Add(-o.Age)
 	if o.Report.CacheTotal <= 0 || at.Before(r.reportedAt) {
 		return
@@ -164,7 +165,6 @@
 		r.Slowdown = float64(int(o.Report.Pace*paceSteps+0.5)) / paceSteps
 	}
 	r.Holds, r.Orders, r.reportedAt = o.Report.Holds, o.Report.Orders, at
-	r.LoadEstimate.RecordObserved(at, o.Report.Running, o.Report.Waiting, float64(o.Report.CacheUsed)/float64(o.Report.CacheTotal), c.domainVMs())
 	c.compareHolds(r, before.Holds)
 	c.dirty = c.dirty || !sameMember(before, r.Member)
 }
@@ -220,9 +220,3 @@
 	}
 	return cmds
 }
-
-// domainVMs returns the number of VMs in this VM's failure domain, at least 1.
-func (c *Core) domainVMs() int {
-	v := View{Peers: c.peers}
-	return v.DomainVMs(c.Domain)
-}
