--- a/chain/chain.go
+++ b/chain/chain.go
@@ -285,6 +285,9 @@
 // lacksCacheRoom reports whether the prompt does not fit in a part's KV cache, by the server's last report and the requests
 // that this VM has sent since.
 func (s *search) lacksCacheRoom(m *fleet.Member) bool {
+	if _, used, ok := m.LoadEstimate.Observed(s.now); ok && s.cacheWith(m, used) > 1 {
+		return true
+	}
 	share, ok := m.LoadEstimate.CacheUtilization(s.now)
 	if !ok {
 		return false
@@ -294,6 +297,47 @@
 	return share*float64(capacity)+float64(tokens) > float64(capacity)
 }
 
+// cacheWith returns the fraction of a part's KV cache that is in use with this request's prompt, from the fraction in use without it.
+func (s *search) cacheWith(m *fleet.Member, used float64) float64 {
+	capacity := max(s.engine.CacheTokens(m.Accelerator, m.Holds.Len()), 1)
+	return used + float64(s.request.PromptTokens)/float64(capacity)
+}
+
+// Fullness returns the share in use of the fullest server of a path with the request, and the share that the request adds there, as another VM
+// has read them; servers without such a load count by this VM's own estimate.
+func (p *Planner) Fullness(now time.Time, v *fleet.View, a PathRequest, path teaselstream.Path) (load, part float64) {
+	engine := a.engineIn(v)
+	if engine == nil {
+		return 0, 0
+	}
+	s := &search{planner: p, now: now, view: v, engine: engine, request: a}
+	for i, x := range path {
+		m := v.Members[x.Server]
+		if m == nil {
+			continue
+		}
+		used := s.fullness(m, i == 0)
+		if used > load {
+			load = used
+			part = float64(a.PromptTokens) / float64(max(s.engine.CacheTokens(m.Accelerator, m.Holds.Len()), 1))
+		}
+	}
+	return load, part
+}
+
+// fullness returns the share of a part's KV cache, and of its slots if it is the first of the path, that is in use with this request.
+func (s *search) fullness(m *fleet.Member, first bool) float64 {
+	requests, used, ok := m.LoadEstimate.Observed(s.now)
+	if !ok {
+		return min(s.load(m), 1)
+	}
+	load := s.cacheWith(m, used)
+	if first {
+		load = max(load, float64(requests+1)/float64(max(m.Slots, 1)))
+	}
+	return load
+}
+
 // loadPenalty grows steeply with load: a half-loaded part costs little more than an idle one, so that paths stay in their
 // failure domain, and a nearly full one is avoided.
 func loadPenalty(load float64) float64 { return load * load * load * load }
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -9,6 +9,9 @@
 const (
 	// loadMaxAge is how long a load report is used, corrected by this VM's own requests; a stream lasts a few seconds.
 	loadMaxAge = 3 * time.Second
+	// observedMaxAge is how long a load that another VM has read is used. It reads each server that runs requests once a second, and a call to it
+	// may be held for half a second.
+	observedMaxAge = 2 * time.Second
 	// queueMaxAge is how long a reported queue length is used; a queue turns over in about a second.
 	queueMaxAge = 600 * time.Millisecond
 )
@@ -24,6 +27,14 @@
 
 		mu         sync.Mutex
 		lastReport lastReport
+		observed   observedLoad
+	}
+
+	// observedLoad is the load that another VM of the failure domain has read.
+	observedLoad struct {
+		at       time.Time
+		requests int
+		cache    float64
 	}
 
 	// lastReport is a server's load report, with the number of requests that this VM had there at that time.
@@ -47,6 +58,23 @@
 	u.lastReport = lastReport{at: now, running: running, waiting: waiting, cache: cache, ownRequests: u.OwnRequests.Load()}
 }
 
+// RecordObserved records the requests and the fraction of cache memory in use that another VM has read at the given time.
+func (u *LoadEstimate) RecordObserved(at time.Time, requests int, cache float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.observed = observedLoad{at, requests, cache}
+}
+
+// Observed returns the requests and the fraction of cache memory in use that another VM has read lately; ok is false if none has.
+func (u *LoadEstimate) Observed(now time.Time) (requests int, cache float64, ok bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.observed.at.IsZero() || now.Sub(u.observed.at) > observedMaxAge {
+		return 0, 0, false
+	}
+	return u.observed.requests, u.observed.cache, true
+}
+
 // TotalRequests estimates the running and waiting requests of all VMs at the server: its last report plus the requests
 // that this VM started since, minus those that ended. ok is false without a recent report.
 func (u *LoadEstimate) TotalRequests(now time.Time) (n int, ok bool) {
--- a/fleet/observed.go
+++ b/fleet/observed.go
@@ -153,11 +153,15 @@
 	return c.avoidObserved(now, r)
 }
 
-// applyObservedReport takes over the pace and the layers of a server that answers another VM, unless this VM knows later ones. Its load is not
-// used: all VMs then chose the same servers until the next report, and the first to be full refused them.
+// applyObservedReport takes over what a server that answers another VM reported: its pace and layers, unless this VM knows later ones, and
+// its load apart from this VM's own estimate. As part of the estimate it made all VMs choose the same servers until the next report.
 func (c *Core) applyObservedReport(now time.Time, r *memberRecord, o *Observation) {
 	at := now.Add(-o.Age)
-	if o.Report.CacheTotal <= 0 || at.Before(r.reportedAt) {
+	if o.Report.CacheTotal <= 0 {
+		return
+	}
+	r.LoadEstimate.RecordObserved(at, o.Report.Running+o.Report.Waiting, float64(o.Report.CacheUsed)/float64(o.Report.CacheTotal))
+	if at.Before(r.reportedAt) {
 		return
 	}
 	before := r.Member
