--- a/cmd/gate/observe.go
+++ b/cmd/gate/observe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/config"
@@ -26,7 +27,11 @@
 	p.status = &status.Service{
 		Self: p.shared.Self, Peers: peers, Post: p.controlLoop.post, ReadReport: p.handler.ReadForOthers,
 		DomainOf: p.controlLoop.domainOf, Samples: p.controlLoop.pacer.takeCounts, Shares: p.controlLoop.pacer.found,
-		Teams: func() []status.TeamLoad { return nil }, SetTeams: func([]status.TeamLoad) {}, Log: p.log,
+		Teams: p.teams, SetTeams: p.setTeams, Log: p.log,
+	}
+	if settings.Domain.Order {
+		p.handler.Admission = &proxy.Admission{}
+		p.handler.Admission.SetRand(p.handler.Rand)
 	}
 	p.controlLoop.status = p.status
 	if !settings.Domain.Observe || settings.Listen.Peers == "" {
@@ -65,3 +70,27 @@
 	}
 	return ""
 }
+
+// teams returns this VM's running requests by team for other VMs.
+func (p *process) teams() []status.TeamLoad {
+	if p.handler.Admission == nil {
+		return nil
+	}
+	var out []status.TeamLoad
+	for _, c := range p.handler.Admission.Running() {
+		out = append(out, status.TeamLoad(c))
+	}
+	return out
+}
+
+// setTeams takes over the running requests by team of all VMs of the failure domain.
+func (p *process) setTeams(loads []status.TeamLoad) {
+	if p.handler.Admission == nil {
+		return
+	}
+	counts := make([]proxy.TeamCount, len(loads))
+	for i, l := range loads {
+		counts[i] = proxy.TeamCount(l)
+	}
+	p.handler.Admission.SetShares(time.Now(), counts)
+}
--- a/config/gate.go
+++ b/config/gate.go
@@ -37,6 +37,8 @@
 	GateDomain struct {
 		// Observe lets one VM look at the model servers for all VMs of its failure domain.
 		Observe bool
+		// Order lets requests wait for room in the order of their urgency before they are sent to a server.
+		Order bool
 		// Pace lets servers that have started or recovered take over their work at the pace at which they answer.
 		Pace bool
 	}
@@ -112,6 +114,7 @@
 		},
 		Domain: GateDomain{
 			Observe: r.optional("Domain", "Observe", choiceFormat("on", "off"), "off") == "on",
+			Order:   r.optional("Domain", "Order", choiceFormat("on", "off"), "off") == "on",
 			Pace:    r.optional("Domain", "Pace", choiceFormat("on", "off"), "off") == "on",
 		},
 	}
--- a/meter/event.go
+++ b/meter/event.go
@@ -29,6 +29,10 @@
 	StoreFailed Event = "StoreFailed"
 	// MoveWaits counts waits of streams that leave a lost server after more urgent ones.
 	MoveWaits Event = "MoveWaits"
+	// QueueDecision counts requests that the queue held, refused or sent ahead of others.
+	QueueDecision Event = "QueueDecision"
+	// RefusedInQueue counts requests that the queue refused.
+	RefusedInQueue Event = "RefusedInQueue"
 	// LeftSlow counts streams that were moved off a slow server.
 	LeftSlow Event = "LeftSlow"
 )
--- a/proxy/domain.go
+++ b/proxy/domain.go
@@ -80,13 +80,13 @@
 	return h.Observer.Report(m.ID)
 }
 
-// ReadForOthers reads a server's report for another VM, or returns one that is at most sharedReuse old.
+// ReadForOthers reads a server's report for another VM, or returns one that is at most probeReuse old.
 func (h *Handler) ReadForOthers(id teaselstream.ServerID) (teaselstream.ReplicaReport, error) {
 	m := h.View().Members[id]
 	if m == nil {
 		return teaselstream.ReplicaReport{}, teaselstream.ErrNotFound
 	}
-	return h.prober.readReport(h, m, sharedReuse)
+	return h.prober.readReport(h, m)
 }
 
 // CheckEnded connects to a server that has ended for another VM, and reports it to the control loop if it refuses the connection.
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -53,6 +53,8 @@
 		Notices notice.Notices
 		// Answers bounds the bytes of servers' answers that are kept; its zero value has a limit.
 		Answers memory.Budget
+		// Admission orders model requests that have not been sent; nil sends each at once.
+		Admission *Admission
 		// Observer is the exchange with other VMs of the failure domain about servers; nil means that there is none.
 		Observer Observer
 
--- a/proxy/prober.go
+++ b/proxy/prober.go
@@ -22,8 +22,6 @@
 	probeAnswerTimeout = 200 * time.Millisecond
 	// probeReuse is how long a probe's result is reused for other streams.
 	probeReuse = 100 * time.Millisecond
-	// sharedReuse is the same for the streams of other VMs. A report is some hundred milliseconds old in any case.
-	sharedReuse = 250 * time.Millisecond
 )
 
 type (
@@ -41,15 +39,15 @@
 	}
 )
 
-// readReport returns a server's report from a probe at most the given time old, or from a new one.
-func (p *prober) readReport(h *Handler, m *fleet.Member, reuse time.Duration) (teaselstream.ReplicaReport, error) {
+// readReport returns a server's report from a probe at most probeReuse old, or from a new one.
+func (p *prober) readReport(h *Handler, m *fleet.Member) (teaselstream.ReplicaReport, error) {
 	now := time.Now()
 	p.mu.Lock()
 	if p.recent == nil {
 		p.recent = make(map[teaselstream.ServerID]*probe)
 	}
 	x := p.recent[m.ID]
-	if x == nil || now.Sub(x.at) > reuse {
+	if x == nil || now.Sub(x.at) > probeReuse {
 		x = &probe{at: now, done: make(chan struct{})}
 		p.recent[m.ID] = x
 		p.mu.Unlock()
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -43,6 +43,8 @@
 		lastEventAt time.Time
 		longestGap  time.Duration
 		moves       int
+		// queued means that the queue knows the request.
+		queued bool
 		// askSlowAt is when the stream may next ask whether it leaves a slow server.
 		askSlowAt time.Time
 		// drainJitter in [0, 1) spreads the times at which streams leave the same draining server.
@@ -85,6 +87,13 @@
 		s.core.Departure = s.departure
 	}
 	defer s.stop()
+	if !s.awaitTurn() {
+		return
+	}
+	if h.Admission != nil {
+		h.Admission.count(r.pool.Service, r.caller.Team, 1)
+		defer h.Admission.count(r.pool.Service, r.caller.Team, -1)
+	}
 	cmds := s.core.Update(time.Now(), flow.Start{})
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -115,6 +124,7 @@
 
 func (s *streamRunner) stop() {
 	close(s.done)
+	s.leaveQueue()
 	if s.core.Departure != nil {
 		s.handler.departures.update(time.Now(), moves.Ended{Request: s.head.Attempt})
 	}
--- a/status/observer.go
+++ b/status/observer.go
@@ -19,10 +19,14 @@
 	// downPeriod is the time between two records of a server that is down, so that other VMs, which do not probe it meanwhile, know
 	// that it still is.
 	downPeriod = 500 * time.Millisecond
-	// stallWindow is the time within which stallWitnesses streams that stand still share a server that has stopped: all its streams stop
-	// within one pass.
-	stallWindow    = 150 * time.Millisecond
+	// stallWindow is the time within which streams that stand still share a server that has stopped: all its streams stop within one pass.
+	stallWindow = 150 * time.Millisecond
+	// stallWitnesses is the least number of such streams, and stallShare the least part of those that run on the server. Fewer stand still
+	// now and then while prompts are read.
 	stallWitnesses = 2
+	stallShare     = 0.1
+	// maxStalls bounds the streams that are counted for one server.
+	maxStalls = 64
 	// stallTimeout is how long a server has to answer a look that follows from streams that stand still. It answers within some
 	// milliseconds, and callers expect the next event within a few hundred.
 	stallTimeout = 50 * time.Millisecond
@@ -30,7 +34,7 @@
 	// maxStallInterval, since the streams of slow servers stand still again and again, and begins anew after stallMemory without one.
 	stallLookInterval = 100 * time.Millisecond
 	maxStallInterval  = 1600 * time.Millisecond
-	stallMemory       = 4 * time.Second
+	stallMemory       = 2 * time.Second
 	// lookTime is how long a look without a result counts as under way.
 	lookTime = 500 * time.Millisecond
 )
@@ -186,10 +190,10 @@
 		}
 		recent := func(at time.Time) bool { return now.Sub(at) > stallWindow }
 		x.stalls = append(slices.DeleteFunc(x.stalls, recent), now)
-		if len(x.stalls) > 4*stallWitnesses {
+		if len(x.stalls) > maxStalls {
 			x.stalls = x.stalls[1:]
 		}
-		if len(x.stalls) < stallWitnesses || now.Sub(x.stallLookAt) < x.stallInterval {
+		if len(x.stalls) < x.witnesses() || now.Sub(x.stallLookAt) < x.stallInterval {
 			continue
 		}
 		x.stallInterval = min(2*x.stallInterval, maxStallInterval)
@@ -202,6 +206,11 @@
 	return cmds
 }
 
+// witnesses returns how many streams that stand still make the VM look at the server.
+func (x *observed) witnesses() int {
+	return min(max(stallWitnesses, int(stallShare*float64(x.record.Running))), maxStalls/2)
+}
+
 // tick looks at the servers that are due, and repeats the records of those that are down.
 func (o *Observer) tick(now time.Time) []teaselstream.Cmd {
 	if !o.active || o.view == nil {
