--- a/chain/chain.go
+++ b/chain/chain.go
@@ -285,9 +285,6 @@
 // lacksCacheRoom reports whether the prompt does not fit in a part's KV cache, by the server's last report and the requests
 // that this VM has sent since.
 func (s *search) lacksCacheRoom(m *fleet.Member) bool {
-	if _, used, ok := m.LoadEstimate.Observed(s.now); ok && s.cacheWith(m, used) > 1 {
-		return true
-	}
 	share, ok := m.LoadEstimate.CacheUtilization(s.now)
 	if !ok {
 		return false
--- a/cmd/gate/pace.go
+++ b/cmd/gate/pace.go
@@ -84,8 +84,12 @@
 	}
 }
 
-// started tells the tracker of a server that takes work again.
+// started tells the tracker of a server that takes work again. A VM alone sees too few answers to find a pace soon, so that there must be an
+// observer which collects those of all VMs.
 func (c *controlLoop) started(ctx context.Context, now time.Time, x fleet.Returned) {
+	if !c.status.Known() {
+		return
+	}
 	reason := ramp.ReasonStarted
 	switch x.Cause {
 	case fleet.AnswersAgain:
