--- /dev/null
+++ b/chain/share_test.go
@@ -0,0 +1,61 @@
+package chain
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/teaselstream/teaselstream"
+)
+
+// Guards against a server whose pace is being found that gets all new work because it is idle, or none although it is the only one that
+// holds some layers.
+func TestShareOfPlans(t *testing.T) {
+	const plans, share = 2000, 0.2
+	whole := teaselstream.LayerRange{From: 0, To: 40}
+	v := testView()
+	back := addMember(v, "back", "fast", "near", whole)
+	other := addMember(v, "other", "fast", "near", whole)
+	back.Share = share
+	other.LoadEstimate.OwnRequests.Store(60)
+	planner := Planner{Rand: rand.New(rand.NewPCG(1, 1))}
+	count := func() (n int) {
+		for range plans {
+			path, _, ok := planner.Plan(testStart, v, PathRequest{Service: testService, PromptTokens: 800, AnswerTokens: 200})
+			if !ok {
+				t.Fatal("no path")
+			}
+			if path[0].Server == back.ID {
+				n++
+			}
+		}
+		return n
+	}
+	if n := count(); n < plans*share*8/10 || n > plans*share*12/10 {
+		t.Errorf("the server got %d of %d plans, want about %g", n, plans, plans*share)
+	}
+	v.Pools[testService] = v.Pools[testService][:1]
+	if n := count(); n != plans {
+		t.Errorf("the only server got %d of %d plans", n, plans)
+	}
+}
+
+// Guards against an estimate of how full a path is that ignores a server which another VM has found full.
+func TestFullness(t *testing.T) {
+	v := testView()
+	a := addMember(v, "a", "fast", "near", teaselstream.LayerRange{From: 0, To: 20})
+	b := addMember(v, "b", "tight", "near", teaselstream.LayerRange{From: 20, To: 40})
+	path := teaselstream.Path{{Server: a.ID}, {Server: b.ID}}
+	request := PathRequest{Service: testService, PromptTokens: 80, AnswerTokens: 20}
+	var p Planner
+	a.LoadEstimate.RecordObserved(testStart, 49, 0.1)
+	b.LoadEstimate.RecordObserved(testStart, 900, 0.2)
+	load, part := p.Fullness(testStart, v, request, path)
+	capacity := float64(testView().Routing.Pools[testService].Engine.CacheTokens("tight", 20))
+	if want := max(0.5, 0.2+80/capacity); load != want || part < 0 {
+		t.Errorf("Fullness() = %g, %g; want %g", load, part, want)
+	}
+	b.LoadEstimate.RecordObserved(testStart, 900, 0.99)
+	if load, _ := p.Fullness(testStart, v, request, path); load < 0.99 {
+		t.Errorf("Fullness() = %g with a full server", load)
+	}
+}
--- /dev/null
+++ b/cmd/gate/observe_test.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/teaselstream/teaselstream/cmd/stand/plat"
+)
+
+const (
+	// observingVMs is the number of VMs from which a domain has an observer.
+	observingVMs = 5
+	// newsTime bounds the time from the end of a server to the last VM's knowledge of it. Callers leave 2 s after an event.
+	newsTime = 2 * time.Second
+)
+
+// countLines returns the number of log lines that hold all of the texts.
+func (l *requestLog) countLines(texts ...string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, line := range l.lines {
+		found := true
+		for _, text := range texts {
+			found = found && strings.Contains(line, text)
+		}
+		if found {
+			n++
+		}
+	}
+	return n
+}
+
+// waitForLines waits until the log has the given number of lines that hold all of the texts.
+func (s *testPlatform) waitForLines(t *testing.T, limit time.Duration, want int, texts ...string) {
+	t.Helper()
+	for end := time.Now().Add(limit); s.gateLog.countLines(texts...) < want; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d log lines with %q after %s, want %d", s.gateLog.countLines(texts...), texts, limit, want)
+		}
+	}
+}
+
+// middleReplica returns a replica that holds layers, but not the first ones.
+func (s *testPlatform) middleReplica(t *testing.T) *plat.Replica {
+	t.Helper()
+	for _, r := range s.fleet.Replicas() {
+		if from, to := r.HeldLayers(); from > 0 && to > from {
+			return r
+		}
+	}
+	t.Fatal("no replica holds only layers behind the first")
+	return nil
+}
+
+// Guards against VMs that learn of the end of a server only by their own streams, and against streams that are lost because the observing VM
+// is killed at the same time.
+func TestObservedEnd(t *testing.T) {
+	s := startPlatformWith(t, observingVMs, func(s *testPlatform) { s.bounds += "\n[Domain]\nObserve = on\nPace = on" })
+	s.waitForLines(t, startTime, observingVMs-1, `"msg":"ObserverFound"`)
+	var streams sync.WaitGroup
+	for i := range 2 * observingVMs {
+		streams.Go(func() {
+			s.checkEvents(t, s.get(i%observingVMs, "/draft/?n=200", fmt.Sprintf("observed-%d", i)), 200)
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	lost := s.middleReplica(t)
+	if err := lost.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	s.waitForLines(t, newsTime, observingVMs, `"msg":"ServerDown"`, lost.ID())
+	if n := s.gateLog.countLines("ended for another VM", lost.ID()); n == 0 {
+		t.Error("no VM has learned of the end from the observing one")
+	}
+	streams.Wait()
+}
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -59,6 +59,8 @@
 					fmt.Fprintf(&out, "%s: %s %s\n", at, c.Event, c.Server)
 				case ReadReport:
 					fmt.Fprintf(&out, "%s: read report of %s\n", at, c.Server)
+				case Returned:
+					fmt.Fprintf(&out, "%s: %s takes work again, cause %d\n", at, c.Server, c.Cause)
 				case CheckEnded:
 					fmt.Fprintf(&out, "%s: check the end of %s\n", at, c.Server)
 				}
@@ -85,6 +87,9 @@
 		if m.CutOff {
 			fmt.Fprint(&out, " cut off")
 		}
+		if m.Share > 0 {
+			fmt.Fprintf(&out, " share %g", m.Share)
+		}
 		fmt.Fprintln(&out)
 	}
 	for link, until := range s.view.CutLinks {
@@ -98,7 +103,7 @@
 
 // message parses "listed NAME[@HEARTBEATS]...", "changed NAME [from-to] [born=N] [beat=N] [draining] [age=D]", "removed NAME [age=D]", "reported NAME from-to
 // [born=N]", "stated NAME [born=N]", "silent NAME [born=N] [ended] [for=D]", "notasked NAME", "observed NAME answering|silent|ended [from-to] [born=N]
-// [age=D] [cutoff]", "stalled NAME", "dropped", "refused NAME [misplaced]", "invalid NAME [born=N]", "lost", "regained", "restored", "routing N" or "tick".
+// [age=D] [cutoff]", "stalled NAME", "share NAME N", "plain", "dropped", "refused NAME [misplaced]", "invalid NAME [born=N]", "lost", "regained", "restored", "routing N" or "tick".
 func message(t *testing.T, f []string) teaselstream.Msg {
 	var id teaselstream.ServerID
 	if len(f) > 1 {
@@ -133,6 +138,14 @@
 			o.State = Ended
 		}
 		return Observed{From: "vm2", Observations: []Observation{o}}
+	case "share":
+		var share float64
+		if _, err := fmt.Sscan(f[2], &share); err != nil {
+			t.Fatal(err)
+		}
+		return ShareFound{Server: id, Share: share}
+	case "plain":
+		return RoutingRead{&teaselstream.Routing{Generation: 9, Pools: map[teaselstream.ServiceID]*teaselstream.Pool{"model": {}}}}
 	case "stalled":
 		return StreamStalled{Servers: []teaselstream.ServerID{id}}
 	case "notasked":
--- a/flow/stream_test.go
+++ b/flow/stream_test.go
@@ -98,6 +98,18 @@
 	// reserve is the part of retries that only requests with delivered events may use.
 	reserve int
 	start   time.Time
+	// turns holds the answers to the questions when the stream may leave a lost server, as times; one with "?" is asked again then.
+	turns []string
+}
+
+func (s *streamScript) departure(now time.Time, _ teaselstream.ServerID, _ time.Duration) (time.Time, bool) {
+	if len(s.turns) == 0 {
+		return now, false
+	}
+	text, again := strings.CutSuffix(s.turns[0], "?")
+	s.turns = s.turns[1:]
+	at, _ := time.ParseDuration(text)
+	return s.start.Add(at), again
 }
 
 // Guards against streams that lose or repeat events, run on more servers than their route allows, are retried although
@@ -129,6 +141,15 @@
 			s.planner.limits["a"] = int(numberOf(limit))
 			s.planner.limitWait, _ = time.ParseDuration(wait)
 		}
+		s.turns = nil
+		if d.HasArg("turns") {
+			for _, a := range d.CmdArgs {
+				if a.Key == "turns" {
+					s.turns = a.Vals
+				}
+			}
+			s.stream.Departure = s.departure
+		}
 		if d.HasArg("stall") {
 			var stall string
 			d.ScanArgs(t, "stall", &stall)
