--- a/fleet/core.go
+++ b/fleet/core.go
@@ -142,12 +142,6 @@
 		cmds = c.markDown(now, m)
 	case ServersIsolated:
 		cmds = c.clearDown(m.Since)
-	case ShareFound:
-		c.applyShare(m)
-	case Observed:
-		cmds = c.applyObserved(now, m)
-	case StreamStalled:
-		cmds = c.applyStalled(now, m)
 	case NotAsked:
 		c.forgetSilences(m.Server)
 	case MessagesDropped:
@@ -157,15 +151,21 @@
 	case AnswerInvalid:
 		cmds = c.pauseInvalid(now, m)
 	case LayersOrdered:
-		if r := c.members[m.Server]; r != nil {
-			r.Pending, c.dirty = m.Range, true
-		}
+		c.applyOrder(m)
 	case teaselstream.Tick:
 		cmds = c.tick(now)
+	default:
+		cmds = c.updateShared(now, m)
 	}
 	return append(c.publish(now, cmds), c.takeReturns()...)
 }
 
+func (c *Core) applyOrder(m LayersOrdered) {
+	if r := c.members[m.Server]; r != nil {
+		r.Pending, c.dirty = m.Range, true
+	}
+}
+
 func (c *Core) publish(now time.Time, cmds []teaselstream.Cmd) []teaselstream.Cmd {
 	if !c.dirty {
 		return cmds
--- a/fleet/observed.go
+++ b/fleet/observed.go
@@ -104,6 +104,19 @@
 // unreached reports whether another VM has found lately that it does not reach the server.
 func (o *observation) unreached(now time.Time) bool { return o.freshAt(now) && o.state != Answering }
 
+// updateShared applies what this VM learns together with others.
+func (c *Core) updateShared(now time.Time, m teaselstream.Msg) []teaselstream.Cmd {
+	switch m := m.(type) {
+	case Observed:
+		return c.applyObserved(now, m)
+	case StreamStalled:
+		return c.applyStalled(now, m)
+	case ShareFound:
+		c.applyShare(m)
+	}
+	return nil
+}
+
 func (c *Core) applyObserved(now time.Time, m Observed) []teaselstream.Cmd {
 	var cmds []teaselstream.Cmd
 	for i := range m.Observations {
