--- a/cmd/gate/control.go
+++ b/cmd/gate/control.go
@@ -219,22 +219,12 @@
 			go c.writeRecord(x)
 		case fleet.ReadReport:
 			go c.readReport(x)
-		case fleet.CheckEnded:
-			go c.handler.CheckEnded(x)
-		case fleet.Returned:
-			c.started(ctx, time.Now(), x)
-		case ramp.SetShare:
-			c.setShare(ctx, time.Now(), x)
-		case ramp.LogChange:
-			c.log.Info("ServerShare", "server", string(x.Server), "share", x.Share, "reason", x.Reason)
-		case status.Look:
-			go c.look(x)
-		case status.Publish:
-			c.status.Publish(x)
 		case cover.Hold:
 			c.log.Info("OrderDecided", "server", string(x.Server), "range", x.Range.String(), "holds", x.Holds.String(),
 				"reason", x.Reason, "waitedMs", x.Waited.Milliseconds(), "rank", x.Rank)
 			go c.executeOrder(ctx, x)
+		default:
+			c.executeShared(ctx, cmd)
 		}
 	}
 }
--- a/cmd/gate/observe.go
+++ b/cmd/gate/observe.go
@@ -11,6 +11,7 @@
 	"github.com/teaselstream/teaselstream/hconn"
 	"github.com/teaselstream/teaselstream/platform"
 	"github.com/teaselstream/teaselstream/proxy"
+	"github.com/teaselstream/teaselstream/ramp"
 	"github.com/teaselstream/teaselstream/status"
 )
 
@@ -55,6 +56,24 @@
 	})
 }
 
+// executeShared carries out what follows from the exchange with other VMs.
+func (c *controlLoop) executeShared(ctx context.Context, cmd teaselstream.Cmd) {
+	switch x := cmd.(type) {
+	case fleet.CheckEnded:
+		go c.handler.CheckEnded(x)
+	case fleet.Returned:
+		c.started(ctx, time.Now(), x)
+	case ramp.SetShare:
+		c.setShare(ctx, time.Now(), x)
+	case ramp.LogChange:
+		c.log.Info("ServerShare", "server", string(x.Server), "share", x.Share, "reason", x.Reason)
+	case status.Look:
+		go c.look(x)
+	case status.Publish:
+		c.status.Publish(x)
+	}
+}
+
 // look reads a server's report for all VMs of the failure domain.
 func (c *controlLoop) look(x status.Look) {
 	_, err := c.handler.ReadReport(x.Server, x.Address, x.Incarnation, x.Timeout)
