--- a/chain/chain.go
+++ b/chain/chain.go
@@ -26,6 +26,9 @@
 	loadWeight = 8.0
 	// headWeight scales the cost that the load of a path's first part adds, in mean times of a whole answer.
 	headWeight = 6.0
+	// movedTogether is the number of streams that read on one new part at the same time after a loss: all streams of a server leave it at
+	// once, and each waits for the reading of the others.
+	movedTogether = 20
 	// partOverhead is the network and queueing time of one part for one pass.
 	partOverhead = 500 * time.Microsecond
 	// jitter is the largest random share added to a part's cost, so that VMs with the same view choose different paths.
@@ -48,6 +51,8 @@
 		MayStart func(id teaselstream.ServerID) bool
 		// First is the server that must run the first part, or empty for any.
 		First teaselstream.ServerID
+		// Current is the path of a running request that is to move; its parts that stay have read all tokens already.
+		Current teaselstream.Path
 		// Within is the only failure domain that the path may use, or empty for all.
 		Within teaselstream.DomainID
 	}
@@ -259,10 +264,11 @@
 func (s *search) cost(m *fleet.Member, r teaselstream.LayerRange) time.Duration {
 	answer := max(s.request.AnswerTokens, 1)
 	stride := max(s.engine.Stride, 1)
-	busy := s.stepTime(m, r)*time.Duration(answer) + partOverhead*time.Duration(answer/stride+1) + s.promptTime(m, r)
+	kept := s.keeps(m, r)
+	busy := s.stepTime(m, r)*time.Duration(answer) + partOverhead*time.Duration(answer/stride+1) + s.readingTime(m, r, kept)
 	load := s.load(m)
 	factor := 1 + loadWeight*loadPenalty(load)
-	if s.planner.Rand != nil {
+	if s.planner.Rand != nil && !kept {
 		factor *= 1 + jitter*s.planner.Rand.Float64()
 	}
 	total := time.Duration(float64(busy) * factor)
@@ -282,6 +288,23 @@
 	return total
 }
 
+// keeps reports whether a part is one of the path of a request that is to move.
+func (s *search) keeps(m *fleet.Member, r teaselstream.LayerRange) bool {
+	return slices.ContainsFunc(s.request.Current, func(p teaselstream.Part) bool { return p.Server == m.ID && p.Range == r })
+}
+
+// readingTime returns the cost of reading the prompt on a part: nothing on one that has read it, and that of all streams which move together on a
+// new part of a moved request.
+func (s *search) readingTime(m *fleet.Member, r teaselstream.LayerRange, kept bool) time.Duration {
+	switch {
+	case kept:
+		return 0
+	case len(s.request.Current) > 0:
+		return movedTogether * s.promptTime(m, r)
+	}
+	return s.promptTime(m, r)
+}
+
 // lacksCacheRoom reports whether the prompt does not fit in a part's KV cache, by the server's last report and the requests
 // that this VM has sent since.
 func (s *search) lacksCacheRoom(m *fleet.Member) bool {
--- a/chain/share_test.go
+++ b/chain/share_test.go
@@ -59,3 +59,27 @@
 		t.Errorf("Fullness() = %g with a full server", load)
 	}
 }
+
+// Guards against a move that replaces parts which are sound, so that more servers than the lost one's successor read all tokens again.
+func TestMoveKeepsSoundParts(t *testing.T) {
+	v := testView()
+	for _, x := range []struct {
+		id       string
+		from, to teaselstream.Layer
+	}{{"a", 0, 10}, {"b1", 10, 20}, {"b2", 10, 20}, {"c1", 20, 30}, {"c2", 20, 30}, {"d1", 30, 40}, {"d2", 30, 40}} {
+		addMember(v, x.id, "fast", "near", teaselstream.LayerRange{From: x.from, To: x.to})
+	}
+	part := func(id teaselstream.ServerID, from teaselstream.Layer) teaselstream.Part {
+		return teaselstream.Part{Server: id, Address: string(id), Range: teaselstream.LayerRange{From: from, To: from + 10}}
+	}
+	current := teaselstream.Path{part("a", 0), part("b1", 10), part("c1", 20), part("d1", 30)}
+	planner := Planner{Rand: rand.New(rand.NewPCG(1, 1))}
+	for range 200 {
+		path, _, ok := planner.Plan(testStart, v, PathRequest{
+			Service: testService, PromptTokens: 800, AnswerTokens: 200, First: "a", Current: current, Avoid: map[teaselstream.ServerID]bool{"c1": true},
+		})
+		if !ok || path[0] != current[0] || path[1] != current[1] || path[2].Server != "c2" || path[3] != current[3] {
+			t.Fatalf("moved to %v, want only c1 replaced", path.Servers())
+		}
+	}
+}
--- a/flow/loss.go
+++ b/flow/loss.go
@@ -130,7 +130,7 @@
 		excluded = maps.Clone(excluded)
 		maps.Copy(excluded, leaving)
 	}
-	path, stepTime, ok := s.Planner.Plan(now, excluded, s.Path[0].Server)
+	path, stepTime, ok := s.Planner.PlanMove(now, excluded, s.Path)
 	return path, stepTime, ok && path[0] == s.Path[0]
 }
 
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -63,6 +63,8 @@
 		// Plan returns a path and its time per token. The path uses no server in avoid and starts at first unless first is
 		// empty; the last result is false if there is none.
 		Plan(now time.Time, avoid map[teaselstream.ServerID]bool, first teaselstream.ServerID) (teaselstream.Path, time.Duration, bool)
+		// PlanMove is Plan for a move of the running attempt, which keeps its first server and as many other parts as is worth it.
+		PlanMove(now time.Time, avoid map[teaselstream.ServerID]bool, current teaselstream.Path) (teaselstream.Path, time.Duration, bool)
 		// Wait estimates how long the request would wait behind others on a path.
 		Wait(now time.Time, path teaselstream.Path) time.Duration
 		// Take uses up one request of the limit that a server has named, and reports whether there was one. Plan does not return
--- a/flow/stream_test.go
+++ b/flow/stream_test.go
@@ -42,6 +42,10 @@
 	return nil, 0, false
 }
 
+func (p *scriptPlanner) PlanMove(now time.Time, avoid map[teaselstream.ServerID]bool, current teaselstream.Path) (teaselstream.Path, time.Duration, bool) {
+	return p.Plan(now, avoid, current[0].Server)
+}
+
 func (p *scriptPlanner) Wait(time.Time, teaselstream.Path) time.Duration { return p.wait }
 
 func (p *scriptPlanner) HasRoom(_ time.Time, path teaselstream.Path) bool {
--- a/proxy/planner.go
+++ b/proxy/planner.go
@@ -14,6 +14,15 @@
 	return p.request.handler.Planner.Plan(now, p.request.handler.View(), pathRequest)
 }
 
+func (p *streamPlanner) PlanMove(now time.Time, avoid map[teaselstream.ServerID]bool, current teaselstream.Path) (teaselstream.Path, time.Duration, bool) {
+	pathRequest := p.pathRequest
+	pathRequest.Avoid, pathRequest.First = avoid, current[0].Server
+	if p.request.handler.observed() {
+		pathRequest.Current = current
+	}
+	return p.request.handler.Planner.Plan(now, p.request.handler.View(), pathRequest)
+}
+
 func (p *streamPlanner) Take(now time.Time, first teaselstream.ServerID) bool {
 	h := p.request.handler
 	m := h.View().Members[first]
