--- a/cmd/gate/isolated.go
+++ b/cmd/gate/isolated.go
@@ -7,7 +7,9 @@
 
 	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/config"
+	"github.com/teaselstream/teaselstream/detour"
 	"github.com/teaselstream/teaselstream/fleet"
+	"github.com/teaselstream/teaselstream/meter"
 	"github.com/teaselstream/teaselstream/reach"
 )
 
@@ -45,6 +47,12 @@
 	return l
 }
 
+// recordPutAside records that exchanges do not go through a VM for some time.
+func (p *process) recordPutAside(x detour.PutAside) {
+	p.meter.Count(meter.VMPutAside, 1)
+	p.log.Info("VMPutAside", "through", string(x.VM), "forMs", x.For.Milliseconds(), "failures", x.Failures)
+}
+
 // probeServers sends a request to servers on new connections.
 func (c *controlLoop) probeServers(x reach.Probe) {
 	for _, a := range x.Addresses {
--- a/cmd/gate/serve.go
+++ b/cmd/gate/serve.go
@@ -130,7 +130,7 @@
 	planner := &chain.Planner{DrainTime: settings.Bounds.DrainTime, Rand: random}
 	p.controlLoop = newControlLoop(settings, p.log)
 	peers := func() []fleet.Peer { return p.controlLoop.current().Peers }
-	through := &detour.Chooser{Self: settings.VM.Name, Isolated: p.controlLoop.isolated.Load, Peers: peers, Rand: random}
+	through := &detour.Chooser{Self: settings.VM.Name, Isolated: p.controlLoop.isolated.Load, Peers: peers, Rand: random, OnPutAside: p.recordPutAside}
 	p.handler = &proxy.Handler{
 		View: p.controlLoop.current, Dialect: platform.Dialect{}, Dial: p.dial, Detour: through, Planner: planner,
 		Quarantine: p.controlLoop.quarantine.Load,
--- a/hconn/detour.go
+++ b/hconn/detour.go
@@ -13,7 +13,7 @@
 
 // doThrough sends a call through another VM. An error that wraps detour.ErrNoVM or detour.ErrWithheld says nothing about the server.
 func (c *Client) doThrough(q *fasthttp.Request, p *fasthttp.Response, deadline time.Time) error {
-	vm, ok := c.Detour.Choose(time.Now())
+	vm, ok := c.Detour.Search().Next(time.Now())
 	if !ok {
 		return fmt.Errorf("%w: %w", teaselstream.ErrUnavailable, detour.ErrNoVM)
 	}
@@ -28,17 +28,17 @@
 	if err := c.vms.DoDeadline(q, p, deadline); err != nil {
 		err = classify(err)
 		if errors.Is(err, teaselstream.ErrUnavailable) {
-			c.Detour.PutAside(time.Now(), vm.Name)
+			c.Detour.RecordRefusal(time.Now(), vm.Name)
 			err = fmt.Errorf("%w: %w", detour.ErrNoVM, err)
+		} else {
+			c.Detour.RecordFailure(time.Now(), vm.Name, server)
 		}
 		return fmt.Errorf("through VM %s: %w", vm.Name, err)
 	}
 	err := detour.ResultError(string(p.Header.Peek(detour.HeaderResult)))
+	c.Detour.RecordResult(time.Now(), vm.Name, server, err)
 	if err == nil {
 		return nil
 	}
-	if errors.Is(err, detour.ErrNoVM) {
-		c.Detour.PutAside(time.Now(), vm.Name)
-	}
 	return fmt.Errorf("through VM %s: %w: %w", vm.Name, teaselstream.ErrUnavailable, err)
 }
--- a/meter/event.go
+++ b/meter/event.go
@@ -27,6 +27,8 @@
 	OrderUnknown Event = "OrderUnknown"
 	// StoreFailed counts calls to the store that failed.
 	StoreFailed Event = "StoreFailed"
+	// VMPutAside counts how often a VM that does not carry exchanges for this one was put aside.
+	VMPutAside Event = "VMPutAside"
 )
 
 // Count adds n to an event's counter.
--- a/proxy/through.go
+++ b/proxy/through.go
@@ -28,8 +28,9 @@
 	}
 	err := fmt.Errorf("send to %s: %w: %w", to.ID, errDial, detour.ErrNoVM)
 	unreached := 0
+	search := h.Detour.Search()
 	for range maxVMs {
-		vm, ok := h.Detour.Choose(time.Now())
+		vm, ok := search.Next(time.Now())
 		if !ok {
 			break
 		}
@@ -62,7 +63,7 @@
 	c, err := (&net.Dialer{Timeout: vmDialTimeout, KeepAlive: -1}).DialContext(ctx, "tcp", vm.Relay)
 	if err != nil {
 		if ctx.Err() == nil {
-			h.Detour.PutAside(time.Now(), vm.Name)
+			h.Detour.RecordRefusal(time.Now(), vm.Name)
 		}
 		return nil, fmt.Errorf("connect to VM %s: %w: %w: %w", vm.Name, errDial, detour.ErrNoVM, err)
 	}
@@ -72,24 +73,26 @@
 	if err != nil {
 		stop()
 		u.discard()
-		// The VM also closes the connection if the server has broken off, so that says nothing about the VM.
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			// The VM also closes the connection if the server has broken off; the chooser tells the two apart.
+			h.Detour.RecordFailure(time.Now(), vm.Name, to.Address)
+		}
 		return nil, fmt.Errorf("through VM %s: %w", vm.Name, err)
 	}
-	if err := detour.ResultError(a.header.Get(detour.HeaderResult)); err != nil {
+	err = detour.ResultError(a.header.Get(detour.HeaderResult))
+	h.Detour.RecordResult(time.Now(), vm.Name, to.Address, err)
+	if err != nil {
 		stop()
 		u.discard()
-		return nil, fmt.Errorf("through VM %s: %w", vm.Name, h.notTaken(vm, err))
+		return nil, fmt.Errorf("through VM %s: %w", vm.Name, notTaken(err))
 	}
 	a.detach = stop
 	return a, nil
 }
 
-// notTaken acts on the answer of a VM that has not sent an exchange, and returns the error for it.
-func (h *Handler) notTaken(vm fleet.Peer, err error) error {
-	switch {
-	case errors.Is(err, detour.ErrNoVM):
-		h.Detour.PutAside(time.Now(), vm.Name)
-	case errors.Is(err, detour.ErrWithheld):
+// notTaken returns the error for the answer of a VM that has not sent an exchange.
+func notTaken(err error) error {
+	if errors.Is(err, detour.ErrWithheld) {
 		return fmt.Errorf("%w: %w", ErrWithheld, err)
 	}
 	return fmt.Errorf("%w: %w", errDial, err)
