--- a/cmd/faults/main.go
+++ b/cmd/faults/main.go
@@ -5,9 +5,10 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/teaselstream/teaselstream/launch"
@@ -21,7 +22,11 @@
 	Time    time.Duration `long:"time" default:"20s" description:"how long faults are injected in each run"`
 	VMs     int           `long:"vms" description:"number of VMs; 3 without it"`
 	Verbose bool          `long:"verbose" description:"print each fault"`
-	Phases  []string      `long:"phase" description:"phase after the faults, silence, cut, hang, reset or refuse; may be repeated; silence and cut without it"`
+	Other   string        `long:"other" description:"another build of cmd/gate that part of the VMs run"`
+	// OtherSettings and Replace need Other.
+	OtherSettings string   `long:"other-settings" description:"template of the settings of that build; that of this one without it"`
+	Replace       string   `long:"replace" description:"replace the VMs one after the other in the middle of a run: up (the other build by this one), down (this one by the other) or mixed (each VM of one of the two by the other one)"`
+	Phases        []string `long:"phase" description:"phase after the faults, silence, cut, hang, reset or refuse; may be repeated; silence and cut without it"`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -34,6 +39,12 @@
 	if o.Runs < 1 || o.Time <= 0 || o.VMs < 0 {
 		return launch.PrintError(program, launch.ExitSettings, errors.New("invalid --runs, --time or --vms; accepted: above 0"))
 	}
+	if !slices.Contains([]string{"", replaceUp, replaceDown, replaceMixed}, o.Replace) {
+		return launch.PrintError(program, launch.ExitSettings, errors.New("invalid --replace; accepted: up, down or mixed"))
+	}
+	if (o.Other == "") != (o.Replace == "") || o.Other == "" && o.OtherSettings != "" {
+		return launch.PrintError(program, launch.ExitSettings, errors.New("--other and --replace need each other, and --other-settings needs both"))
+	}
 	if len(o.Phases) == 0 {
 		o.Phases = []string{"silence", "cut"}
 	}
@@ -42,6 +53,9 @@
 		return launch.PrintError(program, launch.ExitFailure, err)
 	}
 	gate, err := buildGate(dir)
+	if err == nil {
+		err = gate.addOther(o)
+	}
 	if err != nil {
 		return launch.PrintError(program, launch.ExitFailure, err)
 	}
@@ -71,28 +85,13 @@
 	return errors.Join(errs...)
 }
 
-// buildGate builds the program of the VMs, which all runs share, and returns its path.
-func buildGate(dir string) (string, error) {
-	root, err := exec.Command("go", "env", "GOWORK").Output()
-	if err != nil {
-		return "", fmt.Errorf("find Go workspace: %w", err)
-	}
-	file := filepath.Join(dir, "gate")
-	c := exec.Command("go", "build", "-o", file, "./cmd/gate")
-	c.Dir = filepath.Dir(string(root))
-	if out, err := c.CombinedOutput(); err != nil {
-		return "", fmt.Errorf("build gate: %w: %s", err, out)
-	}
-	return file, nil
-}
-
 // runSeed makes one run and returns the guarantees that did not hold.
-func runSeed(seed uint64, o options, dir, gate string) (violations []string, err error) {
+func runSeed(seed uint64, o options, dir string, gate builds) (violations []string, err error) {
 	directory := filepath.Join(dir, fmt.Sprintf("seed%d", seed))
 	if err := os.Mkdir(directory, 0o700); err != nil {
 		return nil, fmt.Errorf("make directory: %w", err)
 	}
-	w, err := newTestRun(directory, gate, o)
+	w, err := newTestRun(seed, directory, gate, o)
 	if err != nil {
 		return nil, err
 	}
@@ -111,7 +110,7 @@
 			wait.Go(func() { w.callers.run(v, own, stop) })
 		}
 	}
-	err = w.injectFaults(r, o)
+	err = w.injectFaults(seed, r, o)
 	deadline := time.Now().Add(recoveryTime)
 	w.checkServing()
 	w.checkKeys()
@@ -119,7 +118,7 @@
 	err = errors.Join(err, w.runPhases(seed, o))
 	close(stop)
 	wait.Wait()
-	w.checkEnd()
+	w.checkEnd(o)
 	fmt.Printf("seed %d: %v\n", seed, w.callers.counts)
 	return w.callers.violations, err
 }
@@ -138,12 +137,23 @@
 	checks.Wait()
 }
 
-// injectFaults injects overlapping faults for the time of the run and waits until all have ended.
-func (w *testRun) injectFaults(r *rand.Rand, o options) error {
+// injectFaults injects overlapping faults for the time of the run and waits until all have ended. If VMs are replaced, they are so
+// meanwhile, and faults go on until that has ended; without time for faults, nothing else happens.
+func (w *testRun) injectFaults(seed uint64, r *rand.Rand, o options) error {
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	var errs []error
-	for end := time.Now().Add(o.Time); time.Now().Before(end); time.Sleep(randomDuration(r, minGap, maxGap)) {
+	var replacing atomic.Bool
+	replacing.Store(o.Replace != "")
+	wait.Go(func() {
+		defer replacing.Store(false)
+		if err := w.replaceVMs(seed, o); err != nil {
+			mu.Lock()
+			defer mu.Unlock()
+			errs = append(errs, fmt.Errorf("replace VMs: %w", err))
+		}
+	})
+	for end := time.Now().Add(o.Time); o.Time > 0 && (replacing.Load() || time.Now().Before(end)); time.Sleep(randomDuration(r, minGap, maxGap)) {
 		f := faults[r.IntN(len(faults))]
 		lasts := randomDuration(r, minFaultTime, maxFaultTime)
 		what, finish := f.begin(w, r)
@@ -167,7 +177,8 @@
 }
 
 // checkEnd makes the checks that are possible only at the end of a run.
-func (w *testRun) checkEnd() {
+func (w *testRun) checkEnd(o options) {
+	w.checkReplaced(o)
 	w.callers.checkOrders()
 	w.callers.checkLeaving(w.started)
 	w.callers.checkWaits(w.started)
--- a/cmd/faults/test_run.go
+++ b/cmd/faults/test_run.go
@@ -42,6 +42,7 @@
 	vms       []*vm
 	callers   *callers
 	version   int
+	builds    builds
 
 	mu sync.Mutex
 	// claimed holds the names of the targets that a fault currently affects.
@@ -52,10 +53,10 @@
 	started []*plat.Replica
 }
 
-func newTestRun(directory, program string, o options) (*testRun, error) {
+func newTestRun(seed uint64, directory string, b builds, o options) (*testRun, error) {
 	w := &testRun{
 		directory: directory, store: &plat.Store{}, replicas: make(map[string]*plat.Replica), links: make(map[string]*link),
-		claimed: make(map[string]bool), starts: make(map[string]int), version: 1,
+		claimed: make(map[string]bool), starts: make(map[string]int), version: 1, builds: b,
 	}
 	w.fleet = &plat.Fleet{Store: w.store, ModelService: "model", PlainService: "plain", Layers: layers, ListAddress: w.addLink}
 	w.callers = &callers{fleet: w.fleet}
@@ -76,16 +77,17 @@
 		}
 	}
 	vmCount := cmp.Or(o.VMs, defaultVMs)
-	addresses, err := plat.FreeAddresses(vmCount * vmAddresses)
-	if err != nil {
-		return w, err
-	}
-	for i := range vmCount {
+	for i, first := range b.drawFirst(seed, o.Replace, vmCount) {
+		// Each call returns addresses of another host, since the template of the settings has a fixed port.
+		addresses, err := plat.FreeAddresses(vmAddresses)
+		if err != nil {
+			return w, err
+		}
 		store, err := newLink(l.Addr().String())
 		if err != nil {
 			return w, err
 		}
-		v, err := newVM(fmt.Sprintf("vm%d", i), o.domain(i, vmCount), directory, program, addresses[i*vmAddresses:(i+1)*vmAddresses], store)
+		v, err := newVM(fmt.Sprintf("vm%d", i), o.domain(i, vmCount), directory, first, addresses, store)
 		if err != nil {
 			return w, err
 		}
--- a/cmd/faults/vm.go
+++ b/cmd/faults/vm.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -11,12 +12,16 @@
 	"syscall"
 	"time"
 
+	"github.com/teaselstream/teaselstream/cmd/stand/plat"
 	"github.com/teaselstream/teaselstream/sock"
 )
 
 // exitTimeout bounds the time until a VM exits after a signal; its own grace time is 8 s.
 const exitTimeout = 12 * time.Second
 
+// retrySlack is the number of retries that all VMs of a run may make beside those in proportion to the requests.
+const retrySlack = 600
+
 // logTailBytes is how much of a VM's log is shown if the VM does not serve after its start.
 const logTailBytes = 2000
 
@@ -25,11 +30,14 @@
 	name      string
 	domain    string
 	directory string
-	program   string
 	callers   string
 	store     *link
+	settings  plat.ProcessSettings
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// build is what the next process runs, and exit how the last one ended.
+	build   build
+	exit    error
 	command *exec.Cmd
 	ended   chan struct{}
 	// exitExpected is set if a signal was sent that ends the current process.
@@ -52,25 +60,39 @@
 	return string(text[max(0, len(text)-logTailBytes):])
 }
 
-// newVM starts a VM that listens on the given vmAddresses addresses.
-func newVM(name, domain, directory, program string, addresses []string, store *link) (*vm, error) {
-	v := &vm{name: name, domain: domain, directory: directory, program: program, callers: addresses[0], store: store}
-	text := fmt.Sprintf("[VM]\nName = %s\nDomain = %s\n[Listen]\nCallers = %s\nReady = %s\nPeers = %s\nRelay = %s\n[Store]\nAddresses = %s\n[Bounds]\nRetrySlack = 600\n",
-		name, domain, addresses[0], addresses[1], addresses[2], addresses[3], store.address())
-	if err := os.WriteFile(v.file("ini"), []byte(text), 0o600); err != nil {
-		return nil, fmt.Errorf("write settings: %w", err)
+// newVM starts a VM of a build that listens on the given vmAddresses addresses.
+func newVM(name, domain, directory string, b build, addresses []string, store *link) (*vm, error) {
+	v := &vm{name: name, domain: domain, directory: directory, build: b, callers: addresses[0], store: store}
+	v.settings = plat.ProcessSettings{
+		Name: name, Domain: domain, Callers: addresses[0], Ready: addresses[1], Store: store.address(), RetrySlack: retrySlack,
+	}
+	for _, a := range addresses[2:] {
+		p, err := netip.ParseAddrPort(a)
+		if err != nil {
+			return nil, fmt.Errorf("parse address of %s: %w", name, err)
+		}
+		v.settings.Ports = append(v.settings.Ports, int(p.Port()))
 	}
 	return v, v.start()
 }
 
 func (v *vm) file(kind string) string { return filepath.Join(v.directory, v.name+"."+kind) }
 
+// start starts a process of the VM's build with the settings of that build.
 func (v *vm) start() error {
+	b := v.current()
+	text, err := v.settings.Fill(b.template)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(v.file("ini"), []byte(text), 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
 	log, err := os.OpenFile(v.file("log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return fmt.Errorf("open log: %w", err)
 	}
-	c := exec.Command(v.program, "--config", v.file("ini"))
+	c := exec.Command(b.file, "--config", v.file("ini"))
 	c.Stdout, c.Stderr = log, log
 	if err := c.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", v.name, err)
@@ -81,11 +103,13 @@
 	v.disturbedAt = append(v.disturbedAt, time.Now())
 	ended := v.ended
 	go func() {
-		if err := c.Wait(); err != nil {
+		err := c.Wait()
+		if err != nil {
 			slog.Debug("ProcessEnded", "vm", v.name, "error", err)
 		}
 		sock.Discard(log)
 		v.mu.Lock()
+		v.exit = err
 		if !v.exitExpected {
 			v.unexpected++
 		}
@@ -95,6 +119,13 @@
 	return nil
 }
 
+// current returns the build of the VM.
+func (v *vm) current() build {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.build
+}
+
 // signal sends a signal to the process by its id, and only prints a message if that fails, as for a process that has
 // ended. With exits, the process is expected to end.
 func (v *vm) signal(s syscall.Signal, exits bool) {
