--- a/meter/event.go
+++ b/meter/event.go
@@ -35,6 +35,8 @@
 	RefusedInQueue Event = "RefusedInQueue"
 	// LeftSlow counts streams that were moved off a slow server.
 	LeftSlow Event = "LeftSlow"
+	// VMPutAside counts how often a VM that does not carry exchanges for this one was put aside.
+	VMPutAside Event = "VMPutAside"
 )
 
 // Count adds n to an event's counter.
