--- a/cmd/gate/control.go
+++ b/cmd/gate/control.go
@@ -191,10 +191,11 @@
 		case fleet.PublishView:
 			before := c.view.Swap(x.View)
 			c.onPublish(x.View)
-			if x.View.DownSince(before) {
+			if c.handler.Observer != nil && x.View.DownSince(before) {
 				c.handler.ServersWentDown()
 			}
 			c.execute(ctx, c.observer.Update(x.View.At, status.ViewChanged{View: x.View}))
+			c.forgetGone(ctx, x.View)
 			c.execute(ctx, c.quotas.Update(x.View.At, quota.ViewChanged{View: x.View}))
 			c.execute(ctx, c.reach.Update(x.View.At, reach.ViewChanged{View: x.View}))
 		case reach.Probe:
--- a/cmd/gate/observe.go
+++ b/cmd/gate/observe.go
@@ -27,7 +27,7 @@
 func (p *process) assembleStatus(settings config.GateSettings, peers func() []fleet.Peer) {
 	p.status = &status.Service{
 		Self: p.shared.Self, Peers: peers, Post: p.controlLoop.post, ReadReport: p.handler.ReadForOthers,
-		DomainOf: p.controlLoop.domainOf, Samples: p.controlLoop.pacer.takeCounts, Shares: p.controlLoop.pacer.found,
+		Unanswered: proxy.IsUnanswered, Isolated: p.controlLoop.isolated.Load, DomainOf: p.controlLoop.domainOf, Samples: p.controlLoop.pacer.takeCounts, Shares: p.controlLoop.pacer.found,
 		Teams: p.teams, SetTeams: p.setTeams, Log: p.log,
 	}
 	if settings.Domain.Order {
--- a/cmd/gate/pace.go
+++ b/cmd/gate/pace.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +13,9 @@
 	"github.com/teaselstream/teaselstream/status"
 )
 
+// maxShares bounds the shares in a message to another VM.
+const maxShares = 256
+
 // shareMemory is how long other VMs are told of a share of 1, which ends the search for a server's pace.
 const shareMemory = 5 * time.Second
 
@@ -38,6 +43,19 @@
 	return p.tracker.Update(now, m)
 }
 
+// known returns the servers with a share.
+func (p *pacer) known() []teaselstream.ServerID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(maps.Keys(p.shares))
+}
+
+func (p *pacer) drop(id teaselstream.ServerID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.shares, id)
+}
+
 // takeCounts returns what this VM has counted since the last call.
 func (p *pacer) takeCounts() []ramp.Sample {
 	p.mu.Lock()
@@ -53,6 +71,10 @@
 	defer p.mu.Unlock()
 	var out []status.Share
 	for id, x := range p.shares {
+		// Beyond the limit, servers are told of once others are done.
+		if len(out) == maxShares {
+			break
+		}
 		if x.Share.Share >= 1 && time.Since(x.at) > shareMemory {
 			delete(p.shares, id)
 			continue
@@ -84,6 +106,16 @@
 	}
 }
 
+// forgetGone ends the search for the pace of servers that have left or are down.
+func (c *controlLoop) forgetGone(ctx context.Context, v *fleet.View) {
+	for _, id := range c.pacer.known() {
+		if m := v.Members[id]; m == nil || m.State == fleet.Down {
+			c.pacer.drop(id)
+			c.execute(ctx, c.pacer.update(v.At, ramp.Gone{Server: id}))
+		}
+	}
+}
+
 // started tells the tracker of a server that takes work again. A VM alone sees too few answers to find a pace soon, so that there must be an
 // observer which collects those of all VMs.
 func (c *controlLoop) started(ctx context.Context, now time.Time, x fleet.Returned) {
--- a/config/gate.go
+++ b/config/gate.go
@@ -37,9 +37,9 @@
 	GateDomain struct {
 		// Observe lets one VM look at the model servers for all VMs of its failure domain.
 		Observe bool
-		// Order lets requests wait for room in the order of their urgency before they are sent to a server.
+		// Order, with Observe, lets requests wait for room in the order of their urgency before they are sent to a server.
 		Order bool
-		// Pace lets servers that have started or recovered take over their work at the pace at which they answer.
+		// Pace, with Observe, lets servers that have started or recovered take over their work at the pace at which they answer.
 		Pace bool
 	}
 
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -139,7 +139,7 @@
 	case LeavingStated:
 		cmds = c.markLeaving(now, m)
 	case Unreachable:
-		cmds = c.markDown(now, m)
+		cmds = c.markUnreachable(now, m)
 	case ServersIsolated:
 		cmds = c.clearDown(m.Since)
 	case NotAsked:
@@ -239,8 +239,8 @@
 		c.startedPlain(r)
 	} else {
 		holds := r.Holds
-		if x.Holds != r.listedLayers || now.Sub(r.reportedAt) > reportMaxAge {
-			if now.Sub(r.reportedAt) > reportMaxAge || !r.Pending.Empty() && x.Holds == r.Pending {
+		if x.Holds != r.listedLayers || now.Sub(r.layersKnownAt()) > reportMaxAge {
+			if now.Sub(r.layersKnownAt()) > reportMaxAge || !r.Pending.Empty() && x.Holds == r.Pending {
 				holds = x.Holds
 			}
 		}
@@ -356,7 +356,10 @@
 	if r.State == Down {
 		cmds = append(cmds, LogEvent{Event: "ServerAnswers", Server: r.ID, Age: now.Sub(r.DownSince)})
 		r.endDown()
-		c.returned(r, AnswersAgain)
+		if now.Sub(before.DownSince) >= soundSilence || before.Ended {
+			// A sound server that was silent for a moment goes on at its pace.
+			c.returned(r, AnswersAgain)
+		}
 	}
 	c.compareHolds(r, before.Holds)
 	c.dirty = c.dirty || !sameMember(before, r.Member)
--- a/fleet/down.go
+++ b/fleet/down.go
@@ -8,6 +8,15 @@
 	"github.com/teaselstream/teaselstream"
 )
 
+// markUnreachable is markDown for a look of this VM itself.
+func (c *Core) markUnreachable(now time.Time, m Unreachable) []teaselstream.Cmd {
+	cmds := c.markDown(now, m)
+	if r := c.members[m.Server]; r != nil && r.State == Down && m.Incarnation >= r.Incarnation && m.Unanswered > 0 {
+		r.observed.ownSilent = true
+	}
+	return cmds
+}
+
 // markDown keeps work off a server that does not answer, and asks it from now on without a break until it does.
 func (c *Core) markDown(now time.Time, m Unreachable) []teaselstream.Cmd {
 	r := c.members[m.Server]
@@ -87,6 +96,7 @@
 // endDown lets a server that was down get work again, unless it leaves.
 func (r *memberRecord) endDown() {
 	r.State, r.DownSince, r.Ended, r.CutOff = Serving, time.Time{}, false, false
+	r.observed.ownSilent = false
 	if !r.LeavingSince.IsZero() {
 		r.State = Leaving
 	}
--- a/fleet/observed.go
+++ b/fleet/observed.go
@@ -18,6 +18,8 @@
 	observedPause = time.Second
 	// ownLookInterval is the least time between two own looks that follow from what another VM says.
 	ownLookInterval = 300 * time.Millisecond
+	// maxObservedPace bounds the pace that is believed without an own look, so that a wrong one cannot take a server out of all paths.
+	maxObservedPace = 16.0
 	// paceSteps is the number of steps per unit to which an observed pace is rounded, so that its noise does not change the view.
 	paceSteps = 4
 )
@@ -69,6 +71,10 @@
 		state     Reachability
 		stalledAt time.Time
 		lookedAt  time.Time
+		// reportAt is when the report was read whose layers are known through another VM.
+		reportAt time.Time
+		// ownSilent means that an own look at the server went unanswered since it is down.
+		ownSilent bool
 	}
 )
 
@@ -96,6 +102,14 @@
 	}
 }
 
+// layersKnownAt returns when the server itself last said to this VM or another one which layers it holds.
+func (r *memberRecord) layersKnownAt() time.Time {
+	if r.observed.reportAt.After(r.reportedAt) {
+		return r.observed.reportAt
+	}
+	return r.reportedAt
+}
+
 // freshAt reports whether the observation is recent enough to stand for an own look.
 func (o *observation) freshAt(now time.Time) bool {
 	return !o.at.IsZero() && now.Sub(o.at) <= observationFresh
@@ -153,7 +167,7 @@
 		c.applyObservedReport(now, r, o)
 		return nil
 	case r.State == Down:
-		if o.CutOff && !r.CutOff && !r.Ended {
+		if o.CutOff && r.observed.ownSilent && !r.CutOff && !r.Ended {
 			r.CutOff, c.dirty = true, true
 			return []teaselstream.Cmd{LogEvent{Event: "ServerCutOff", Server: r.ID, Reason: "silent for another VM too", Age: now.Sub(r.DownSince)}}
 		}
@@ -174,14 +188,17 @@
 		return
 	}
 	r.LoadEstimate.RecordObserved(at, o.Report.Running+o.Report.Waiting, float64(o.Report.CacheUsed)/float64(o.Report.CacheTotal))
-	if at.Before(r.reportedAt) {
+	if at.Before(r.reportedAt) || at.Before(r.observed.reportAt) {
 		return
 	}
 	before := r.Member
 	if o.Report.Pace > 0 {
-		r.Slowdown = float64(int(o.Report.Pace*paceSteps+0.5)) / paceSteps
+		r.Slowdown = float64(int(min(o.Report.Pace, maxObservedPace)*paceSteps+0.5)) / paceSteps
+	}
+	if r.Holds.Empty() || r.Holds.Within(o.Report.Holds) {
+		// Layers that a server has given up show in its entry, and in its refusals. A wrong record must not hide it.
+		r.Holds, r.Orders, r.observed.reportAt = o.Report.Holds, o.Report.Orders, at
 	}
-	r.Holds, r.Orders, r.reportedAt = o.Report.Holds, o.Report.Orders, at
 	c.compareHolds(r, before.Holds)
 	c.dirty = c.dirty || !sameMember(before, r.Member)
 }
--- a/flow/leave.go
+++ b/flow/leave.go
@@ -43,6 +43,14 @@
 // awaitsTurn reports whether the stream waits to leave a lost server by a move.
 func (s *Stream) awaitsTurn() bool { return !s.turn.at.IsZero() && !s.moving && s.lostPart() }
 
+// earlierProbe returns the time of the next probe if it is before another time.
+func (s *Stream) earlierProbe(at time.Time) time.Time {
+	if next := s.lastActivity.Add(s.probeDelay); !s.probing && next.Before(at) {
+		return next
+	}
+	return at
+}
+
 // firstLost returns a server of the running attempt's path that is in avoid.
 func (s *Stream) firstLost() teaselstream.ServerID {
 	for _, p := range s.Path {
--- a/flow/loss.go
+++ b/flow/loss.go
@@ -103,15 +103,15 @@
 	if !lost {
 		reason = s.leavingReason
 	}
-	if lost && !s.mayLeave(now, s.firstLost()) {
-		return nil
-	}
 	excluded := s.excludedForNow(now)
 	path, stepTime, ok := s.planMove(now, excluded, s.leaving)
 	if !ok && lost {
 		path, stepTime, ok = s.planMove(now, excluded, nil)
 	}
 	if ok && s.repaths < maxRepaths {
+		if lost && !s.mayLeave(now, s.firstLost()) {
+			return nil
+		}
 		s.repaths++
 		s.moving = true
 		s.previousPath = s.Path
@@ -142,7 +142,7 @@
 	if m.Err == nil {
 		// The new parts must read all tokens so far before the next event.
 		s.lastActivity = now
-		s.turn = turn{}
+		s.turn, s.stallReported = turn{}, false
 		s.probeDelay = max(s.probeDelay, firstEventProbeDelay)
 		return nil
 	}
--- a/flow/replace.go
+++ b/flow/replace.go
@@ -31,7 +31,7 @@
 	if silent < s.leastSilence() {
 		// There was activity recently, so the path still works although a server in avoid is part of it. It is probed again
 		// if no event follows.
-		s.probeDelay = nextEventProbeDelay
+		s.probeDelay = s.leastSilence()
 		return nil
 	}
 	s.probeDelay = silent + replanInterval
--- a/flow/stream.go
+++ b/flow/stream.go
@@ -273,7 +273,7 @@
 	s.repaths, s.probing, s.moving, s.opened, s.attemptMayHaveRun, s.attemptDelivered = 0, false, false, false, false, false
 	s.lastActivity, s.reopenAt = now, time.Time{}
 	s.probeDelay = firstEventProbeDelay
-	s.turn = turn{}
+	s.turn, s.stallReported = turn{}, false
 	clear(s.leaving)
 }
 
@@ -293,7 +293,7 @@
 	case !s.reopenAt.IsZero():
 		return s.reopenAt
 	case s.awaitsTurn():
-		return s.turn.at
+		return s.earlierProbe(s.turn.at)
 	case s.probing || s.moving:
 		// The result of the probe or move arrives as a message; a tick before it does nothing.
 		return s.lastActivity.Add(hungTimeout + s.probeDelay)
--- a/proxy/admission.go
+++ b/proxy/admission.go
@@ -20,6 +20,8 @@
 		counts map[teaselstream.ServiceID]int
 		// running counts this VM's running requests by service and team.
 		running map[teaselstream.ServiceID]map[teaselstream.TeamID]int
+		// wakes holds the held requests, which are asked again before their time when the queue says so.
+		wakes map[teaselstream.AttemptID]chan struct{}
 	}
 
 	// TeamCount is the number of running requests of a team to a service.
@@ -37,7 +39,42 @@
 func (a *Admission) update(now time.Time, m teaselstream.Msg) []teaselstream.Cmd {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.queue.Update(now, m)
+	return a.wake(a.queue.Update(now, m))
+}
+
+// wake wakes the held requests among those that commands are about. The caller holds the lock.
+func (a *Admission) wake(cmds []teaselstream.Cmd) []teaselstream.Cmd {
+	for _, c := range cmds {
+		h, ok := c.(queue.Hold)
+		if !ok {
+			continue
+		}
+		if w := a.wakes[h.Request]; w != nil {
+			select {
+			case w <- struct{}{}:
+			default:
+			}
+		}
+	}
+	return cmds
+}
+
+// await returns a channel that receives when the queue asks a held request again before its time.
+func (a *Admission) await(id teaselstream.AttemptID) <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.wakes == nil {
+		a.wakes = make(map[teaselstream.AttemptID]chan struct{})
+	}
+	w := make(chan struct{}, 1)
+	a.wakes[id] = w
+	return w
+}
+
+func (a *Admission) forget(id teaselstream.AttemptID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.wakes, id)
 }
 
 // arrive submits a request, after the number of ranks of its service.
@@ -51,7 +88,7 @@
 		a.counts[m.Service] = ranks
 		a.queue.Update(now, queue.Ranks{Service: m.Service, Count: ranks})
 	}
-	return a.queue.Update(now, m)
+	return a.wake(a.queue.Update(now, m))
 }
 
 // count adds a request that starts or ends to the running ones of its team.
@@ -132,6 +169,7 @@
 		}
 		now = time.Now()
 		if load, part, ok = s.fullness(now); !ok {
+			s.leaveQueue()
 			return true
 		}
 		cmds = a.update(now, queue.Again{Request: s.head.Attempt, Load: load, Part: part})
@@ -188,7 +226,12 @@
 	began := time.Now()
 	timer := time.NewTimer(d)
 	defer timer.Stop()
+	woken := s.handler.Admission.await(s.head.Attempt)
+	defer s.handler.Admission.forget(s.head.Attempt)
 	select {
+	case <-woken:
+		s.class.QueueWait(time.Since(began))
+		return true
 	case <-timer.C:
 		s.class.QueueWait(time.Since(began))
 		return true
@@ -204,6 +247,7 @@
 // leaveQueue tells the queue that the request has ended.
 func (s *streamRunner) leaveQueue() {
 	if s.queued {
+		s.queued = false
 		s.handler.Admission.update(time.Now(), queue.Ended{Request: s.head.Attempt})
 	}
 }
--- a/proxy/domain.go
+++ b/proxy/domain.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -10,6 +11,10 @@
 	"github.com/teaselstream/teaselstream/ramp"
 )
 
+// directProbeAfter is the time without an event after which a stream asks its servers itself: the observing VM may reach a server that this VM does
+// not.
+const directProbeAfter = 300 * time.Millisecond
+
 // stallShare is the share of the route's objective for pauses after which a stream may be reported as standing still. The rest is for
 // finding the server, for the move and for reading the tokens again.
 const stallShare = 0.25
@@ -77,7 +82,17 @@
 	if h.Observer == nil {
 		return teaselstream.ReplicaReport{}, false, nil
 	}
-	return h.Observer.Report(m.ID)
+	report, ok, err := h.Observer.Report(m.ID)
+	if ok && err == nil && report.Leaving {
+		h.Notices.ObserveLeaving(time.Now(), m.ID, report.Incarnation)
+		h.Post(fleet.LeavingStated{Server: m.ID, Incarnation: report.Incarnation})
+	}
+	return report, ok, err
+}
+
+// IsUnanswered reports whether an error of ReadForOthers means that the server did not answer this VM.
+func IsUnanswered(err error) bool {
+	return err != nil && !errors.Is(err, ErrWithheld) && !errors.Is(err, teaselstream.ErrNotFound)
 }
 
 // ReadForOthers reads a server's report for another VM, or returns one that is at most probeReuse old.
@@ -86,7 +101,7 @@
 	if m == nil {
 		return teaselstream.ReplicaReport{}, teaselstream.ErrNotFound
 	}
-	return h.prober.readReport(h, m)
+	return h.prober.readReport(h, m, true)
 }
 
 // CheckEnded connects to a server that has ended for another VM, and reports it to the control loop if it refuses the connection.
--- a/proxy/leave.go
+++ b/proxy/leave.go
@@ -118,9 +118,13 @@
 		switch c := c.(type) {
 		case moves.Move:
 			s.askSlowAt = now.Add(slowAskInterval)
+			cmds := s.core.MoveOff(now, slow.ID, "part is slow")
+			if len(cmds) == 0 {
+				return nil
+			}
 			s.log("StreamLeavesSlow", slog.LevelInfo, "server", string(slow.ID), "factor", slow.Slowdown, "rank", rank, "tokens", tokens)
 			s.handler.Meter.Count(meter.LeftSlow, 1)
-			return s.core.MoveOff(now, slow.ID, "part is slow")
+			return cmds
 		case moves.Stay:
 			s.askSlowAt = c.Until
 		}
--- a/proxy/prober.go
+++ b/proxy/prober.go
@@ -27,8 +27,9 @@
 type (
 	// prober reads servers' load reports for streams that wait for an event; streams waiting for the same server share a probe.
 	prober struct {
-		mu     sync.Mutex
-		recent map[teaselstream.ServerID]*probe
+		mu sync.Mutex
+		// recent and direct hold the newest probe of each server, and the newest one of this VM itself.
+		recent, direct map[teaselstream.ServerID]*probe
 	}
 
 	probe struct {
@@ -39,20 +40,28 @@
 	}
 )
 
-// readReport returns a server's report from a probe at most probeReuse old, or from a new one.
-func (p *prober) readReport(h *Handler, m *fleet.Member) (teaselstream.ReplicaReport, error) {
+// readReport returns a server's report from a probe at most probeReuse old, or from a new one, which another VM may carry out unless direct is
+// set.
+func (p *prober) readReport(h *Handler, m *fleet.Member, direct bool) (teaselstream.ReplicaReport, error) {
 	now := time.Now()
 	p.mu.Lock()
 	if p.recent == nil {
-		p.recent = make(map[teaselstream.ServerID]*probe)
+		p.recent, p.direct = make(map[teaselstream.ServerID]*probe), make(map[teaselstream.ServerID]*probe)
 	}
-	x := p.recent[m.ID]
+	known := p.recent
+	if direct {
+		known = p.direct
+	}
+	x := known[m.ID]
 	if x == nil || now.Sub(x.at) > probeReuse {
 		x = &probe{at: now, done: make(chan struct{})}
-		p.recent[m.ID] = x
+		known[m.ID] = x
 		p.mu.Unlock()
-		var ok bool
-		if x.report, ok, x.err = h.observedReport(m); !ok {
+		ok := false
+		if !direct {
+			x.report, ok, x.err = h.observedReport(m)
+		}
+		if !ok {
 			x.report, x.err = h.ReadReport(m.ID, m.Address, m.Incarnation, 0)
 		}
 		close(x.done)
--- a/proxy/rank.go
+++ b/proxy/rank.go
@@ -66,11 +66,12 @@
 	return out
 }
 
-// rank returns the request's place among the ranks of its service, 0 for the most urgent, and their number.
+// rank returns the request's place among the ranks of its service, 0 for the most urgent, and their number. A priority that the configuration does
+// not list ranks last.
 func (r *request) rank() (rank, count int) {
 	list := r.handler.ranks.of(r.view.Routing, r.pool.Service)
 	if i := slices.Index(list, r.priority()); i >= 0 {
 		return i, len(list)
 	}
-	return 0, max(len(list), 1)
+	return max(len(list)-1, 0), max(len(list), 1)
 }
--- a/proxy/read.go
+++ b/proxy/read.go
@@ -115,14 +115,14 @@
 		s.post(context.Background(), flow.Probed{Attempt: c.Attempt, Unresponsive: true})
 		return
 	}
-	report, err := h.prober.readReport(h, head)
+	report, err := h.prober.readReport(h, head, c.Waited >= directProbeAfter)
 	stalled := report.WaitsFor(s.head.Attempt)
 	s.log("PathProbed", slog.LevelInfo, "attempt", c.Attempt, "server", string(head.ID), "waitedMs", c.Waited.Milliseconds(),
 		"stalled", stalled, "running", report.Running, "waiting", report.Waiting, "error", errorText(err))
 	s.post(context.Background(), flow.Probed{Attempt: c.Attempt, Unresponsive: err != nil && !errors.Is(err, ErrWithheld), BlockedOn: stalled})
 	if m := v.ByAddress(stalled); stalled != "" && m != nil {
 		// The stalled server is probed itself. If it does not respond, other streams leave it once the next view marks it.
-		if _, err := h.prober.readReport(h, m); err != nil && !errors.Is(err, ErrWithheld) {
+		if _, err := h.prober.readReport(h, m, c.Waited >= directProbeAfter); err != nil && !errors.Is(err, ErrWithheld) {
 			s.log("PartSilent", slog.LevelInfo, "server", string(m.ID), "error", err.Error())
 		}
 	}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -145,10 +145,13 @@
 		due = check
 	}
 	timer.Reset(max(due.Sub(now), 0))
-	down := s.handler.downs.wait()
-	if s.handler.View() != s.lastView {
-		// The view has changed since it was checked.
-		return nil
+	var down <-chan struct{}
+	if s.handler.Observer != nil {
+		down = s.handler.downs.wait()
+		if s.handler.View() != s.lastView {
+			// The view has changed since it was checked.
+			return nil
+		}
 	}
 	select {
 	case <-down:
--- a/status/foreign.go
+++ b/status/foreign.go
@@ -72,11 +72,19 @@
 // followForeign passes the records of another domain's observer on to this VM and its domain until ctx ends.
 func (s *Service) followForeign(ctx context.Context, d teaselstream.DomainID) {
 	var boot, seq uint64
+	pausedUntil := make(map[teaselstream.VMID]time.Time)
 	for ctx.Err() == nil {
 		answered := false
 		for _, p := range observers(d, s.Peers()) {
+			if time.Now().Before(pausedUntil[p.Name]) {
+				continue
+			}
 			a, err := s.exchange(ctx, p, Ask{VM: s.Self.Name, Domain: s.Self.Domain, Boot: boot, After: seq})
 			if err != nil {
+				pausedUntil[p.Name] = time.Now().Add(pauseAfter(err))
+				if ctx.Err() == nil {
+					s.Log.Info("ForeignObserverFailed", "domain", string(d), "observer", string(p.Name), "error", err.Error())
+				}
 				continue
 			}
 			answered = true
@@ -86,9 +94,10 @@
 			break
 		}
 		if !answered {
-			s.Log.Info("ForeignObserverFailed", "domain", string(d))
-			pause(ctx, failedPause)
+			pause(ctx, retryPause)
+			continue
 		}
+		pause(ctx, askSpacing)
 	}
 }
 
--- a/status/log.go
+++ b/status/log.go
@@ -7,6 +7,9 @@
 	"github.com/teaselstream/teaselstream"
 )
 
+// recordTime is how long a record is passed on; VMs use none that is older than 3 s.
+const recordTime = 10 * time.Second
+
 // teamLoadAge is how long what a VM last said about its teams counts; a VM asks twice a second.
 const teamLoadAge = 2 * time.Second
 
@@ -55,7 +58,11 @@
 func (j *journal) add(at time.Time, r Record, news, foreign bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	r.SilentFor = min(r.SilentFor, maxAge)
 	known, ok := j.records[r.Server]
+	if !ok && len(j.records) >= maxElements {
+		j.dropOld(at)
+	}
 	if j.records == nil || !ok && len(j.records) >= maxElements || ok && foreign && at.Before(known.at) {
 		return
 	}
@@ -66,6 +73,15 @@
 	}
 }
 
+// dropOld drops records that no VM uses any more; it is called with the lock held.
+func (j *journal) dropOld(now time.Time) {
+	for id, e := range j.records {
+		if now.Sub(e.at) > recordTime {
+			delete(j.records, id)
+		}
+	}
+}
+
 // wake is called with the lock held.
 func (j *journal) wake() {
 	if j.news != nil {
@@ -94,7 +110,7 @@
 	}
 	a := Answer{Boot: j.boot, Seq: j.seq}
 	for _, e := range j.records {
-		if e.seq > after && (!own || !e.foreign) && len(a.Records) < maxElements {
+		if now.Sub(e.at) <= recordTime && e.seq > after && (!own || !e.foreign) && len(a.Records) < maxElements {
 			r := e.record
 			r.Age = max(now.Sub(e.at), 0)
 			a.Records = append(a.Records, r)
--- a/status/observer.go
+++ b/status/observer.go
@@ -54,9 +54,9 @@
 		record Record
 		at     time.Time
 		// lookedAt is when the last look began; looking means that it has no result yet.
-		lookedAt, stallLookAt time.Time
-		looking               bool
-		period, stallInterval time.Duration
+		lookedAt, stallLookAt, endLookAt time.Time
+		looking                          bool
+		period, stallInterval            time.Duration
 		// stalls holds when streams on the server stood still, newest last.
 		stalls []time.Time
 	}
@@ -132,6 +132,8 @@
 		}
 		x.record.State, x.record.SilentFor, x.record.CutOff = state, silent, m.CutOff
 		x.record.Incarnation, x.record.Holds, x.record.Orders = m.Incarnation, m.Holds, m.Orders
+		// The load is that of the last report.
+		x.record.CacheTotal = 0
 		x.at = now
 		cmds = append(cmds, Publish{Record: x.record, News: true})
 	}
@@ -171,9 +173,11 @@
 		return nil
 	}
 	m := o.view.ByAddress(address)
-	if m == nil || o.servers[m.ID] == nil || m.State == fleet.Down {
+	if m == nil || o.servers[m.ID] == nil || m.State == fleet.Down || now.Sub(o.servers[m.ID].endLookAt) < stallLookInterval {
+		// A server may close its connections again and again.
 		return nil
 	}
+	o.servers[m.ID].endLookAt = now
 	return []teaselstream.Cmd{o.look(now, m, 0, "connection ended")}
 }
 
@@ -188,8 +192,8 @@
 		if x == nil || m == nil || m.State == fleet.Down {
 			continue
 		}
-		recent := func(at time.Time) bool { return now.Sub(at) > stallWindow }
-		x.stalls = append(slices.DeleteFunc(x.stalls, recent), now)
+		old := func(at time.Time) bool { return now.Sub(at) > stallWindow }
+		x.stalls = append(slices.DeleteFunc(x.stalls, old), now)
 		if len(x.stalls) > maxStalls {
 			x.stalls = x.stalls[1:]
 		}
--- a/status/server.go
+++ b/status/server.go
@@ -24,7 +24,7 @@
 		s.reject(c)
 		return
 	}
-	if !s.observing.Load() {
+	if !s.observes() {
 		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
@@ -44,6 +44,10 @@
 		}
 		limit.Stop()
 	}
+	if !s.observes() {
+		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
 	now := time.Now()
 	a := s.journal.since(now, q.Boot, q.After, foreign)
 	if !foreign {
@@ -68,7 +72,7 @@
 		s.reject(c)
 		return
 	}
-	if !s.observing.Load() {
+	if !s.observes() {
 		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
@@ -76,15 +80,24 @@
 }
 
 func (s *Service) handleReport(c *fasthttp.RequestCtx) {
-	if !s.observing.Load() {
+	if !s.observes() {
 		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
 	id := teaselstream.ServerID(c.QueryArgs().Peek(serverParameter))
 	report, err := s.ReadReport(id)
+	if err != nil && !s.Unanswered(err) {
+		// This VM has not asked the server, which says nothing about it.
+		s.Log.Info("ReportNotRead", "server", string(id), "error", err.Error())
+		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
 	s.respond(c, ReportAnswer{Unanswered: err != nil, Report: report})
 }
 
+// observes reports whether this VM observes and reaches servers itself.
+func (s *Service) observes() bool { return s.observing.Load() && !s.Isolated() }
+
 func (s *Service) reject(c *fasthttp.RequestCtx) {
 	s.rejected.Add(1)
 	c.SetStatusCode(fasthttp.StatusBadRequest)
--- a/status/service_test.go
+++ b/status/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -95,6 +96,8 @@
 		v.SetTeams = func([]TeamLoad) {}
 		v.Samples = func() []ramp.Sample { return []ramp.Sample{{Server: "s9", OnTime: 1}} }
 		v.Shares = func() []Share { return []Share{{Server: "s9", Share: 0.5}} }
+		v.Unanswered = func(err error) bool { return errors.Is(err, context.DeadlineExceeded) }
+		v.Isolated = func() bool { return false }
 		v.DomainOf = func(id teaselstream.ServerID) teaselstream.DomainID {
 			_, d, _ := strings.Cut(string(id), "-")
 			return teaselstream.DomainID(d)
