--- a/cmd/gate/control.go
+++ b/cmd/gate/control.go
@@ -75,7 +75,7 @@
 		quotas:   quota.Tracker{VM: settings.VM.Name},
 		core:     fleet.Core{Domain: settings.VM.Domain},
 		decider:  cover.Decider{VM: settings.VM.Name, Domain: settings.VM.Domain},
-		observer: status.Observer{Domain: settings.VM.Domain},
+		observer: status.Observer{Domain: settings.VM.Domain, Loads: settings.Domain.Order},
 		pacer:    pacer{on: settings.Domain.Pace, tracker: ramp.Tracker{VM: settings.VM.Name}},
 		inbox:    make(chan teaselstream.Msg, inboxSize), log: log,
 	}
--- a/status/observer.go
+++ b/status/observer.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	// lookPeriod is the time between two looks at a server that runs requests. A report is some hundred milliseconds old and a stream
-	// lasts two to three seconds, so that fewer looks would show a load that is gone.
-	lookPeriod = time.Second
-	// idleLookPeriod is the same for a server that runs none.
-	idleLookPeriod = 2 * time.Second
+	// lookPeriod is the time between two looks at a server whose load nobody uses. It is below the time after which idle connections are closed,
+	// so that the end of a server shows on one; streams that stand still on a slow server bring looks forward.
+	lookPeriod = 3 * time.Second
+	// loadPeriod is the same if loads are used. A stream lasts two to three seconds, so that fewer looks would show a load that is gone.
+	loadPeriod = time.Second
 	// downPeriod is the time between two records of a server that is down, so that other VMs, which do not probe it meanwhile, know
 	// that it still is.
 	downPeriod = 500 * time.Millisecond
@@ -43,6 +43,8 @@
 	// Observer is the state machine that looks at the model servers of a failure domain for all its VMs. Domain must be set.
 	Observer struct {
 		Domain teaselstream.DomainID
+		// Loads means that loads are used, so that servers are looked at more often.
+		Loads bool
 
 		active  bool
 		view    *fleet.View
@@ -56,7 +58,7 @@
 		// lookedAt is when the last look began; looking means that it has no result yet.
 		lookedAt, stallLookAt, endLookAt time.Time
 		looking                          bool
-		period, stallInterval            time.Duration
+		stallInterval                    time.Duration
 		// stalls holds when streams on the server stood still, newest last.
 		stalls []time.Time
 	}
@@ -119,7 +121,7 @@
 		}
 		x := o.servers[id]
 		if x == nil {
-			x = &observed{period: lookPeriod, lookedAt: now.Add(-offset(id))}
+			x = &observed{lookedAt: now.Add(-offset(id, o.period()))}
 			x.record = Record{Server: id, Incarnation: m.Incarnation, Holds: m.Holds}
 			o.servers[id] = x
 		}
@@ -140,12 +142,19 @@
 	return cmds
 }
 
+func (o *Observer) period() time.Duration {
+	if o.Loads {
+		return loadPeriod
+	}
+	return lookPeriod
+}
+
 // offset spreads the first looks at servers over a period.
-func offset(id teaselstream.ServerID) time.Duration {
+func offset(id teaselstream.ServerID, period time.Duration) time.Duration {
 	h := fnv.New32a()
 	// A hash does not fail.
 	_, _ = h.Write([]byte(id))
-	return time.Duration(h.Sum32()) % lookPeriod
+	return time.Duration(h.Sum32()) % period
 }
 
 // looked publishes a report as the newest record of its server.
@@ -154,10 +163,7 @@
 	if !o.active || x == nil || m.Report.Incarnation < x.record.Incarnation {
 		return nil
 	}
-	x.looking, x.period = false, lookPeriod
-	if m.Report.Running == 0 && m.Report.Waiting == 0 {
-		x.period = idleLookPeriod
-	}
+	x.looking = false
 	before := x.record
 	x.record = Record{
 		Server: m.Server, Incarnation: m.Report.Incarnation, Holds: m.Report.Holds, Orders: m.Report.Orders,
@@ -231,7 +237,7 @@
 				x.at = now
 				cmds = append(cmds, Publish{Record: x.record})
 			}
-		case now.Sub(x.lookedAt) >= x.period && (!x.looking || now.Sub(x.lookedAt) >= lookTime):
+		case now.Sub(x.lookedAt) >= o.period() && (!x.looking || now.Sub(x.lookedAt) >= lookTime):
 			cmds = append(cmds, o.look(now, m, 0, ""))
 		}
 	}
--- a/status/observer_test.go
+++ b/status/observer_test.go
@@ -30,7 +30,7 @@
 		var s observerScript
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			if d.Cmd == "new" {
-				s = observerScript{observer: Observer{Domain: "near"}, view: &fleet.View{Routing: &teaselstream.Routing{
+				s = observerScript{observer: Observer{Domain: "near", Loads: d.HasArg("loads")}, view: &fleet.View{Routing: &teaselstream.Routing{
 					Pools: map[teaselstream.ServiceID]*teaselstream.Pool{testService: {Engine: &teaselstream.EngineSpec{}}, "plain": {}},
 				}}}
 				return "ok"
