--- a/status/service.go
+++ b/status/service.go
@@ -32,6 +32,9 @@
 	askTimeout = 950 * time.Millisecond
 	// urgentTimeout bounds a message that a stream waits for; VMs of one domain are less than a millisecond apart.
 	urgentTimeout = 60 * time.Millisecond
+	// takeoverTime is how long a VM that answers, but does not observe, may take to begin before one behind it does: it has to notice the end
+	// of the one before it, by a call that fails after askTimeout at most.
+	takeoverTime = askTimeout + 2*retryPause
 	// askSpacing is the least time between two asks, whatever the observer answers. Of several servers that end at once, the second one's news is
 	// as much later.
 	askSpacing = 10 * time.Millisecond
@@ -100,6 +103,11 @@
 		// boot and seq are the place of the newest answer, and pausedUntil the time until which a VM is not asked. Only Run uses them.
 		boot, seq   uint64
 		pausedUntil map[teaselstream.VMID]time.Time
+		// answersOnly holds the VMs that answered last that they do not observe, notObserving their number among those that rank before this VM,
+		// and notObservingSince since when there has been such a VM and none that observes. Only Run uses them.
+		answersOnly       map[teaselstream.VMID]bool
+		notObserving      int
+		notObservingSince time.Time
 	}
 )
 
@@ -110,7 +118,7 @@
 // Run asks the observer of the failure domain, or observes, until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	s.init()
-	s.pausedUntil = make(map[teaselstream.VMID]time.Time)
+	s.pausedUntil, s.answersOnly = make(map[teaselstream.VMID]time.Time), make(map[teaselstream.VMID]bool)
 	go s.sendStalls(ctx)
 	for ctx.Err() == nil {
 		upstreams, mayObserve := s.role()
@@ -118,7 +126,7 @@
 		case s.askFirst(ctx, upstreams):
 			s.observe(false)
 			pause(ctx, askSpacing)
-		case mayObserve && !s.Isolated():
+		case mayObserve && !s.Isolated() && !s.awaitsEarlier(time.Now()):
 			s.observe(true)
 			s.exchangeOwn(ctx, standbyPeriod)
 		default:
@@ -210,26 +218,49 @@
 
 // askFirst asks the first VM that answers and reports whether one did.
 func (s *Service) askFirst(ctx context.Context, upstreams []fleet.Peer) bool {
+	s.notObserving = 0
 	for _, p := range upstreams {
 		if time.Now().Before(s.pausedUntil[p.Name]) {
+			s.countNotObserving(p.Name)
 			continue
 		}
 		began := time.Now()
 		a, err := s.ask(ctx, p)
 		if err != nil {
 			s.pausedUntil[p.Name] = time.Now().Add(pauseAfter(err))
+			s.answersOnly[p.Name] = errors.Is(err, errNotObserving)
+			s.countNotObserving(p.Name)
 			if ctx.Err() == nil {
 				s.Log.Info("ObserverFailed", "observer", string(p.Name), "error", err.Error())
 			}
 			continue
 		}
+		s.notObservingSince = time.Time{}
 		s.apply(p, began, a)
 		return true
 	}
 	s.observer.Store(nil)
+	switch {
+	case s.notObserving == 0:
+		s.notObservingSince = time.Time{}
+	case s.notObservingSince.IsZero():
+		s.notObservingSince = time.Now()
+	}
 	return false
 }
 
+// countNotObserving counts a VM that answers and does not observe.
+func (s *Service) countNotObserving(id teaselstream.VMID) {
+	if s.answersOnly[id] {
+		s.notObserving++
+	}
+}
+
+// awaitsEarlier reports whether a VM that ranks before this one answers and may begin to observe soon.
+func (s *Service) awaitsEarlier(now time.Time) bool {
+	return !s.notObservingSince.IsZero() && now.Sub(s.notObservingSince) < time.Duration(s.notObserving)*takeoverTime
+}
+
 // pauseAfter returns how long a VM is not asked after an error. One that answers, but does not observe, may do so soon.
 func pauseAfter(err error) time.Duration {
 	if errors.Is(err, errNotObserving) {
