--- a/chain/chain.go
+++ b/chain/chain.go
@@ -110,8 +110,8 @@
 	all := s.usableMembers()
 	members := p.draw(all, a.First)
 	path, step, ok = s.plan(members)
-	if !ok && len(members) < len(all) {
-		// The servers that the draw left out are the only ones for some layers.
+	if len(members) < len(all) && (!ok || !s.hasRoom(path)) {
+		// The servers that the draw left out are the only ones for some layers, or the only ones with room.
 		return s.plan(all)
 	}
 	return path, step, ok
@@ -151,9 +151,13 @@
 		return false
 	}
 	s := &search{planner: p, now: now, view: v, engine: engine, request: a}
+	return s.hasRoom(path)
+}
+
+func (s *search) hasRoom(path teaselstream.Path) bool {
 	for _, part := range path {
-		m := v.Members[part.Server]
-		if m == nil || m.State != fleet.Serving || now.Before(m.PausedUntil) || s.lacksCacheRoom(m) || s.load(m) > 1 {
+		m := s.view.Members[part.Server]
+		if m == nil || m.State != fleet.Serving || s.now.Before(m.PausedUntil) || s.lacksCacheRoom(m) || s.load(m) > 1 {
 			return false
 		}
 	}
--- a/chain/share_test.go
+++ b/chain/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/teaselstream/teaselstream"
 )
@@ -33,6 +34,10 @@
 	if n := count(); n < plans*share*8/10 || n > plans*share*12/10 {
 		t.Errorf("the server got %d of %d plans, want about %g", n, plans, plans*share)
 	}
+	other.PausedUntil = testStart.Add(time.Second)
+	if n := count(); n != plans {
+		t.Errorf("the server got %d of %d plans while the other one had no room", n, plans)
+	}
 	v.Pools[testService] = v.Pools[testService][:1]
 	if n := count(); n != plans {
 		t.Errorf("the only server got %d of %d plans", n, plans)
