--- a/fleet/observed.go
+++ b/fleet/observed.go
@@ -10,8 +10,8 @@
 	// maxObservationAge is the age up to which what another VM has found out about a server is used; a stream lasts about as long.
 	maxObservationAge = 3 * time.Second
 	// observationFresh is how long an observation takes the place of an own probe. The observing VM repeats it every 500 ms, and a call
-	// to it may take as long.
-	observationFresh = 1300 * time.Millisecond
+	// to it may be held for 900 ms.
+	observationFresh = 1700 * time.Millisecond
 	// stallMemory is how long a stream of this VM that stands still bears out what another VM says about a server of its path.
 	stallMemory = 400 * time.Millisecond
 	// observedPause is how long a server that another VM does not reach gets no new work where others have room.
--- a/status/service.go
+++ b/status/service.go
@@ -27,9 +27,9 @@
 	// minVMs is the number of VMs from which a failure domain has an observer; fewer repeat little of each other's work.
 	minVMs = 5
 	// holdTime is how long an ask without news is held; the loads that come with the answer are then as old as this at most.
-	holdTime = 500 * time.Millisecond
-	// askTimeout bounds an ask, so that an observer that is frozen or cut off is noticed within a second.
-	askTimeout = 950 * time.Millisecond
+	holdTime = 900 * time.Millisecond
+	// askTimeout bounds an ask, so that an observer that is frozen or cut off is noticed before callers leave a stream, after 2 s.
+	askTimeout = 1400 * time.Millisecond
 	// urgentTimeout bounds a message that a stream waits for; VMs of one domain are less than a millisecond apart.
 	urgentTimeout = 60 * time.Millisecond
 	// takeoverTime is how long a VM that answers, but does not observe, may take to begin before one behind it does: it has to notice the end
@@ -45,7 +45,7 @@
 	// standbyPeriod is how long a VM that stands in observes before it looks whether one before it answers again.
 	standbyPeriod = 2 * time.Second
 	// freshTime is how long after its last answer the observer counts as known.
-	freshTime = 1500 * time.Millisecond
+	freshTime = 1900 * time.Millisecond
 	// stallBatch is how long reports of streams that stand still are collected into one message.
 	stallBatch = 5 * time.Millisecond
 	stallQueue = 256
