--- a/cmd/gate/pace.go
+++ b/cmd/gate/pace.go
@@ -16,6 +16,9 @@
 // maxShares bounds the shares in a message to another VM.
 const maxShares = 256
 
+// usedTime is how long after its last first event a VM counts as one that sends model requests. Small VMs send one every few seconds.
+const usedTime = 10 * time.Second
+
 // shareMemory is how long other VMs are told of a share of 1, which ends the search for a server's pace.
 const shareMemory = 5 * time.Second
 
@@ -122,6 +125,10 @@
 	if !c.status.Known() {
 		return
 	}
+	if x.Cause == fleet.HoldsNewLayers && !c.handler.StreamedSince(now.Add(-usedTime)) {
+		// All layers of a deployment that starts are new, and nothing floods a server while no requests come.
+		return
+	}
 	reason := ramp.ReasonStarted
 	switch x.Cause {
 	case fleet.AnswersAgain:
--- a/proxy/domain.go
+++ b/proxy/domain.go
@@ -111,9 +111,13 @@
 	}
 }
 
+// StreamedSince reports whether the first event of a stream has come since a time.
+func (h *Handler) StreamedSince(t time.Time) bool { return h.firstEventAt.Load() > t.UnixNano() }
+
 // reportPace reports the time to the first event to the control loop, for the servers of the path whose pace is being found.
 func (s *streamRunner) reportPace(now time.Time) {
 	took := now.Sub(s.current().openedAt)
+	s.handler.firstEventAt.Store(now.UnixNano())
 	expected := s.handler.firstEvents.mean()
 	v := s.handler.View()
 	found := false
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -66,11 +66,13 @@
 		receivedAt      atomic.Int64
 		streamDurations streamDurations
 		firstEvents     streamDurations
-		durations       routeDurations
-		stopping        stopState
-		downs           downSignal
-		ranks           rankIndex
-		departures      departures
+		// firstEventAt is when the last first event of a stream came, in Unix nanoseconds, or 0.
+		firstEventAt atomic.Int64
+		durations    routeDurations
+		stopping     stopState
+		downs        downSignal
+		ranks        rankIndex
+		departures   departures
 	}
 
 	// request is the state of one request in the handler.
--- a/proxy/rank_test.go
+++ b/proxy/rank_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/teaselstream/teaselstream"
 	"github.com/teaselstream/teaselstream/fleet"
@@ -68,3 +69,16 @@
 		t.Errorf("running requests are %v", got)
 	}
 }
+
+// Guards against a search for the pace of all servers while a deployment starts, which limited them when the first requests came.
+func TestStreamedSince(t *testing.T) {
+	var h Handler
+	now := time.Unix(1000, 0)
+	if h.StreamedSince(now.Add(-time.Hour)) {
+		t.Error("a VM without a stream counts as one that sends requests")
+	}
+	h.firstEventAt.Store(now.UnixNano())
+	if !h.StreamedSince(now.Add(-time.Second)) || h.StreamedSince(now) {
+		t.Error("the time of the last first event is not used")
+	}
+}
