--- a/proxy/domain.go
+++ b/proxy/domain.go
@@ -112,7 +112,10 @@
 }
 
 // StreamedSince reports whether the first event of a stream has come since a time.
-func (h *Handler) StreamedSince(t time.Time) bool { return h.firstEventAt.Load() > t.UnixNano() }
+func (h *Handler) StreamedSince(t time.Time) bool {
+	at := h.firstEventAt.Load()
+	return at != 0 && at > t.UnixNano()
+}
 
 // reportPace reports the time to the first event to the control loop, for the servers of the path whose pace is being found.
 func (s *streamRunner) reportPace(now time.Time) {
