--- a/cmd/gate/pace.go
+++ b/cmd/gate/pace.go
@@ -13,14 +13,14 @@
 	"github.com/teaselstream/teaselstream/status"
 )
 
-// maxShares bounds the shares in a message to another VM.
-const maxShares = 256
-
-// usedTime is how long after its last first event a VM counts as one that sends model requests. Small VMs send one every few seconds.
-const usedTime = 10 * time.Second
-
-// shareMemory is how long other VMs are told of a share of 1, which ends the search for a server's pace.
-const shareMemory = 5 * time.Second
+const (
+	// maxShares bounds the shares in a message to another VM.
+	maxShares = 256
+	// usedTime is how long after its last first event a VM counts as one that sends model requests. Small VMs send one every few seconds.
+	usedTime = 10 * time.Second
+	// shareMemory is how long other VMs are told of a share of 1, which ends the search for a server's pace.
+	shareMemory = 5 * time.Second
+)
 
 type (
 	// pacer runs ramp.Tracker in the control loop and keeps what is exchanged with other VMs. Its zero value finds no paces.
--- a/flow/stall.go
+++ b/flow/stall.go
@@ -62,8 +62,8 @@
 	s.gapDeviation += (off.Abs() - s.gapDeviation) / gapWeight
 }
 
-// leastSilence returns the time without an event from which on a path with a server in avoid does not work any more. A stream that was reported
-// as standing still has a server that is down for another VM too.
+// leastSilence returns the time without an event from which on a path with a server in avoid does not work any more. For a stream that was reported
+// as standing still, that is the time after which it was.
 func (s *Stream) leastSilence() time.Duration {
 	if s.stallReported {
 		return s.stallAfter()
--- a/ramp/load_test.go
+++ b/ramp/load_test.go
@@ -106,7 +106,7 @@
 
 // reachBound returns the time in which a server that is sound reaches its full share, from the answers that it gets. At a share s,
 // it gets s times an equal part of the requests. A window takes the time of enoughAnswers of them, or quietTime if they are fewer,
-// both times caution, and an answer; then the counts go to the reader VM, and the share comes back. The last reports may still show
+// both times caution, and an answer; then the counts go to the observing VM, and the share comes back. The last reports may still show
 // the server empty.
 func reachBound(servers int, share, caution float64) time.Duration {
 	equal := requestRate / float64(servers)
--- a/ramp/message.go
+++ b/ramp/message.go
@@ -71,12 +71,12 @@
 		Share float64
 	}
 
-	// Shared holds the share that the domain's reader VM found; it is not sent to that VM itself.
+	// Shared holds the share that the domain's observing VM found; it is not sent to that VM itself.
 	Shared struct {
 		Server      teaselstream.ServerID
 		Incarnation teaselstream.Incarnation
 		Share       float64
-		// At is when the reader VM sent it.
+		// At is when the observing VM sent it.
 		At time.Time
 	}
 
--- a/ramp/server.go
+++ b/ramp/server.go
@@ -40,7 +40,7 @@
 	normalPace = 1.25
 	// reportTTL is the age up to which a report limits growth; a stream lasts a few seconds.
 	reportTTL = 3 * time.Second
-	// sharedTTL is how long the share of the domain's reader VM is used, so that one or two lost messages change nothing.
+	// sharedTTL is how long the share of the domain's observing VM is used, so that one or two lost messages change nothing.
 	sharedTTL = 2 * time.Second
 )
 
@@ -59,7 +59,7 @@
 		caution int
 		window  window
 		report  Reported
-		// sharedAt is the time of the last share that the domain's reader VM found, or the zero time.
+		// sharedAt is the time of the last share that the domain's observing VM found, or the zero time.
 		sharedAt time.Time
 		// counts holds what Counts has not returned yet.
 		counts   Sample
@@ -179,7 +179,7 @@
 	return reason
 }
 
-// follow takes over the share that the domain's reader VM found.
+// follow takes over the share that the domain's observing VM found.
 func (s *server) follow(now time.Time, m Shared) string {
 	if m.At.Before(s.startedAt) || !m.At.After(s.sharedAt) {
 		return ""
