--- a/flow/stream_test.go
+++ b/flow/stream_test.go
@@ -157,7 +157,11 @@
 		if d.HasArg("stall") {
 			var stall string
 			d.ScanArgs(t, "stall", &stall)
-			s.stream.StallDelay, _ = time.ParseDuration(stall)
+			delay, err := time.ParseDuration(stall)
+			if err != nil {
+				d.Fatalf(t, "stall: %v", err)
+			}
+			s.stream.StallDelay = delay
 		}
 		s.planner.full = make(map[teaselstream.ServerID]bool)
 		if d.HasArg("full") {
