--- a/review/rig2/bench.go
+++ b/review/rig2/bench.go
@@ -56,7 +56,7 @@
 	done           chan struct{}
 }
 
-func newBench(folder string) (*bench, error) {
+func newBench(folder string, trouble bool) (*bench, error) {
 	folder, err := filepath.Abs(folder)
 	if err != nil {
 		return nil, fmt.Errorf("find folder: %w", err)
@@ -69,7 +69,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("open record: %w", err)
 	}
-	b := &bench{trouble: os.Getenv("TROUBLE") != "0", root: root, store: &plat.Store{}, out: out, from: time.Now()}
+	b := &bench{trouble: trouble, root: root, store: &plat.Store{}, out: out, from: time.Now()}
 	if b.files, err = os.MkdirTemp("", "rig2-"); err != nil {
 		return nil, fmt.Errorf("make folder for settings: %w", err)
 	}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -20,16 +20,16 @@
 var cases = map[string]func(*bench) (broken bool, err error){}
 
 func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: rig2 CASE FOLDER")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: rig2 CASE FOLDER TROUBLE")
 		os.Exit(exitNotRun)
 	}
-	os.Exit(run(os.Args[1], os.Args[2]))
+	os.Exit(run(os.Args[1], os.Args[2], os.Args[3] != "0"))
 }
 
-// run plays a case and writes its record into a folder.
-func run(name, folder string) int {
-	b, err := newBench(folder)
+// run plays a case, with its disruption or without, and writes its record into a folder.
+func run(name, folder string, trouble bool) int {
+	b, err := newBench(folder, trouble)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "rig2:", err)
 		return exitNotRun
