--- a/review/rig2/bench.go
+++ b/review/rig2/bench.go
@@ -42,7 +42,9 @@
 	address string
 	server  *http.Server
 	gates   []*gate
-	files   string
+	// zones holds the zones of the gates; without it, all are in zone.
+	zones []string
+	files string
 
 	mu   sync.Mutex
 	out  *os.File
@@ -126,8 +128,12 @@
 		}
 		ports = append(ports, n.Port)
 	}
+	domain := zone
+	if i < len(b.zones) {
+		domain = b.zones[i]
+	}
 	text, err := plat.ProcessSettings{
-		Name: fmt.Sprintf("edge-%d", i), Domain: zone, Callers: addresses[0], Ready: addresses[1], Ports: ports, Store: b.address,
+		Name: fmt.Sprintf("edge-%d", i), Domain: domain, Callers: addresses[0], Ready: addresses[1], Ports: ports, Store: b.address,
 	}.Fill(string(template))
 	if err != nil {
 		return err
--- a/review/rig2/query.go
+++ b/review/rig2/query.go
@@ -67,9 +67,14 @@
 	return l.judge(b, counted, fleet.HarmfulArrivals(), fleet.CrashTimes())
 }
 
-// sendCall sends an order with an attempt of its own.
+// sendCall sends an order with an attempt of its own to the gates in turn.
 func (l *promptLoad) sendCall(n int, kind, path, body string) {
-	attempt, gate := fmt.Sprintf("%s-%d", kind, n), n%len(l.bench.gates)
+	l.sendCallAt(n%len(l.bench.gates), n, kind, path, body)
+}
+
+// sendCallAt sends an order with an attempt of its own to a gate.
+func (l *promptLoad) sendCallAt(gate, n int, kind, path, body string) {
+	attempt := fmt.Sprintf("%s-%d", kind, n)
 	sent := time.Now()
 	a := call(l.bench.gates[gate].callers, text(http.MethodPost, path, attempt, orderWait, body, length(body)), orderWait)
 	ok := a.status == http.StatusOK && a.err == nil
