--- a/review/rig2/bench.go
+++ b/review/rig2/bench.go
@@ -22,7 +22,8 @@
 
 const (
 	host = "test.example"
-	key  = "key-a"
+	// key and otherKey are the keys of the two tenants.
+	key, otherKey = "key-a", "key-b"
 	// startTime bounds the start of a gate until it is ready.
 	startTime = 20 * time.Second
 	// stopTime is the platform's GraceS: a gate that runs on after a SIGTERM is killed.
@@ -217,7 +218,7 @@
 	b.store.Put("op/config", map[string]any{
 		"Version": 1, "Routes": routes, "Services": services,
 		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-		"Tenants": []map[string]any{{"Name": "team-a", "ApiKeys": []string{key}}},
+		"Tenants": []map[string]any{{"Name": "team-a", "ApiKeys": []string{key}}, {"Name": "team-b", "ApiKeys": []string{otherKey}}},
 	})
 }
 
--- a/review/rig2/caller.go
+++ b/review/rig2/caller.go
@@ -24,8 +24,13 @@
 	err    error
 }
 
-// text returns a request as it goes over the wire. Lines holds further header lines.
+// text returns a request of the first tenant as it goes over the wire. Lines holds further header lines.
 func text(method, path, attempt string, wait time.Duration, body string, lines ...string) string {
+	return textOf(key, method, path, attempt, wait, body, lines...)
+}
+
+// textOf is text for the tenant with a key.
+func textOf(key, method, path, attempt string, wait time.Duration, body string, lines ...string) string {
 	var s strings.Builder
 	fmt.Fprintf(&s, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nX-Api-Key: %s\r\n", method, path, host, attempt,
 		wait.Milliseconds(), key)
--- a/review/rig2/isolated.go
+++ b/review/rig2/isolated.go
@@ -16,6 +16,12 @@
 func init() { cases["isolated"] = isolated }
 
 const (
+	// crashesOfContent is the number of crashes from which a request that returns unchanged counts.
+	crashesOfContent = 3
+	harmfulPath      = "/order/crash"
+	harmfulBody      = `{"foil":"crash"}`
+	// soundWork is how long a replica works on a sound order.
+	soundWork = 100 * time.Millisecond
 	// partitionTime is how long the machines of a zone are partitioned from all replicas. The cuts of machines of the site last up to 12 s.
 	partitionTime = 8 * time.Second
 	// tryPeriod is the time between two tries of the request that crashes replicas.
@@ -142,7 +148,7 @@
 		r.crash(attempt)
 		return
 	}
-	time.Sleep(soundWork * time.Millisecond)
+	time.Sleep(soundWork)
 	w.Header().Set("X-Replica-Stamp", "stamp-"+r.id)
 	w.Header().Set("X-Replica-Load", "1,0,6")
 	if _, err := io.WriteString(w, receipt(q.URL.Path)); err != nil {
@@ -209,3 +215,20 @@
 	}
 	return l.judge(b, counted, arrived, crashed)
 }
+
+// sendCallAt sends an order with an attempt of its own to a gate.
+func (l *promptLoad) sendCallAt(gate, n int, kind, path, body string) {
+	attempt := fmt.Sprintf("%s-%d", kind, n)
+	sent := time.Now()
+	a := call(l.bench.gates[gate].callers, text(http.MethodPost, path, attempt, orderWait, body, length(body)), orderWait)
+	ok := a.status == http.StatusOK && a.err == nil
+	l.add(kind, ok)
+	if kind == "sound" {
+		l.mu.Lock()
+		l.sound = append(l.sound, soundRequest{sent, ok})
+		l.mu.Unlock()
+	}
+	if !ok || kind != "sound" {
+		l.bench.record("caller sent %s, %s, to gate %d and got %q, error %v", attempt, path, gate, a.line, a.err)
+	}
+}
--- a/review/rig2/load.go
+++ b/review/rig2/load.go
@@ -146,7 +146,12 @@
 }
 
 func (l *promptLoad) every(stop chan struct{}, period time.Duration, f func(n int)) {
-	l.wait.Go(func() {
+	every(&l.wait, stop, period, f)
+}
+
+// every calls f once a period, each call in a goroutine of its own, until stop is closed.
+func every(wait *sync.WaitGroup, stop chan struct{}, period time.Duration, f func(n int)) {
+	wait.Go(func() {
 		t := time.NewTicker(period)
 		defer t.Stop()
 		for n := 0; ; n++ {
@@ -154,7 +159,7 @@
 			case <-stop:
 				return
 			case <-t.C:
-				l.wait.Go(func() { f(n) })
+				wait.Go(func() { f(n) })
 			}
 		}
 	})
