--- a/review/rig2/batch.go
+++ b/review/rig2/batch.go
@@ -178,6 +178,7 @@
 	otherAfter, j := share(r.others, counted, to)
 	b.record("%d crashes; sound requests of the batches: %.2f of %d began before, %.2f of %d from %.3f s; other sound requests: %.2f of %d, %.2f of %d",
 		len(crashed), before, n, after, m, counted.Sub(b.from).Seconds(), otherBefore, k, otherAfter, j)
+	b.record("the gates keep in the store: %q", b.store.Keys("crash/"))
 	if n < leastSound || m < leastSound || before < leastShare || b.trouble && len(crashed) == 0 {
 		return false, fmt.Errorf("%d and %d sound requests, %d crashes", n, m, len(crashed))
 	}
