--- a/review/rig2/batch.go
+++ b/review/rig2/batch.go
@@ -70,7 +70,7 @@
 	if first {
 		time.Sleep(time.Duration(float64(promptTokens(prompt)) * readFactor / readPerS * float64(time.Second)))
 	}
-	return strings.Contains(prompt, harmfulPart+":")
+	return isHarmful(prompt)
 }
 
 // promptTokens returns the number of tokens of a prompt.
--- a/review/rig2/lastpart.go
+++ b/review/rig2/lastpart.go
@@ -49,7 +49,7 @@
 	switch {
 	case q.URL.Path == "/v1/order":
 		c.observeOrder(q)
-	case strings.Contains(q.Header.Get("X-Prefix-Hash"), harmfulPart+":"):
+	case isHarmful(q.Header.Get("X-Prefix-Hash")):
 		c.mu.Lock()
 		c.asked[q]++
 		starts := c.asked[q] == 2
--- a/review/rig2/load.go
+++ b/review/rig2/load.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -195,6 +196,9 @@
 	}
 }
 
+// isHarmful reports whether a prompt has the harmful part. The part of a request's own is random and may end like it.
+func isHarmful(prompt string) bool { return strings.Contains(","+prompt, ","+harmfulPart+":") }
+
 // add counts a request of a kind.
 func (l *promptLoad) add(kind string, served bool) {
 	l.mu.Lock()
