flow: replace a status that promises what its server did not state

What callers saw: an order that a replica had recorded and then failed with 503 was answered 503, which callers take for the promise that it has not run.

Cause: the router knew that the call may have run, did not retry it, and passed the replica's status on. 408, 429 and 503 are a promise on the way to callers, and a replica that fails does not make it.

Change: a call or stream that must not run twice, and whose server answers with such a status without stating that nothing ran, ends with the router's own 502 and without the replica's header. AnswerReplaced logs both statuses in one line; tsctl explain names them. Requests that may run again keep the replica's status.

Why it works: the four statuses reach a caller of such a request only from code that knows that nothing ran.

--- a/flow/answer.go
+++ b/flow/answer.go
@@ -41,6 +41,9 @@
 			return append([]teaselstream.Cmd{Abort{s.Attempt, "failure status"}}, s.open(now, "failure status")...)
 		}
 		s.done = true
+		if !s.mayRunAgain() && teaselstream.PromisesNotRun(m.Status) {
+			return []teaselstream.Cmd{Finish{Refusal: falsePromise(), Replaced: s.Attempt}}
+		}
 		return []teaselstream.Cmd{PassThrough{s.Attempt}}
 	}
 }
--- a/flow/call.go
+++ b/flow/call.go
@@ -81,7 +81,11 @@
 	CallDeliver struct{ AttemptNumber int }
 
 	// CallRefuse ends the call with an error from the router, or without an answer if the caller disconnected.
-	CallRefuse struct{ Refusal *teaselstream.Error }
+	CallRefuse struct {
+		Refusal *teaselstream.Error
+		// Replaced is the attempt whose answer the error replaces; 0 means none.
+		Replaced int
+	}
 )
 
 // Update applies one message and returns the resulting commands.
@@ -141,6 +145,9 @@
 		return c.retryOrEnd("refused as not run")
 	}
 	c.possiblyRan++
+	if !c.Idempotent && teaselstream.PromisesNotRun(m.Status) {
+		return c.replace(m.AttemptNumber)
+	}
 	if m.Status < http.StatusInternalServerError {
 		return c.deliver(m.AttemptNumber)
 	}
@@ -153,6 +160,20 @@
 	return []teaselstream.Cmd{CallDeliver{attempt}}
 }
 
+// replace ends the call without an answer that callers would take for the promise that the call has not run.
+func (c *Call) replace(attempt int) []teaselstream.Cmd {
+	c.done = true
+	return []teaselstream.Cmd{CallRefuse{Refusal: falsePromise(), Replaced: attempt}}
+}
+
+// falsePromise returns the error in place of an answer whose status callers take for a promise that its server has not made. A request that
+// may not run twice would otherwise be sent again.
+func falsePromise() *teaselstream.Error {
+	return &teaselstream.Error{
+		Code: teaselstream.CodeOutcomeUnknown, Outcome: teaselstream.Unknown, Message: "the server failed without stating that the request did not run",
+	}
+}
+
 // retryOrEnd retries after an attempt without a usable answer, or ends the call once no attempt is running.
 func (c *Call) retryOrEnd(reason string) []teaselstream.Cmd {
 	if c.mayRunAgain() && c.attempts < maxCallAttempts && c.MayRetry() {
@@ -200,5 +221,5 @@
 	if c.possiblyRan > 0 || c.running > 0 {
 		e.Outcome, e.RetryAfter = teaselstream.Unknown, 0
 	}
-	return []teaselstream.Cmd{CallRefuse{e}}
+	return []teaselstream.Cmd{CallRefuse{Refusal: e}}
 }
--- a/flow/message.go
+++ b/flow/message.go
@@ -109,6 +109,8 @@
 		// because the answer has begun.
 		Complete bool
 		Refusal  *teaselstream.Error
+		// Replaced is the attempt whose answer Refusal replaces; 0 means none.
+		Replaced teaselstream.Attempt
 		// CallerLeft reports that the caller disconnected, so that no answer can be sent.
 		CallerLeft bool
 		// Reason says why an answer that has begun is cut; it is empty for all other ends.
--- a/outcome.go
+++ b/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"time"
 )
 
@@ -45,6 +46,16 @@
 	}
 }
 
+// PromisesNotRun reports whether callers take a status for the promise that the request has not run and never will, so that they send it
+// again even if it must not run twice. The platform's protocol names these four.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // MarshalText returns the name of the outcome.
 func (o Outcome) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
 
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -119,6 +119,11 @@
 			c.deliver(c.responses[x.AttemptNumber])
 			return true
 		case flow.CallRefuse:
+			if x.Replaced > 0 {
+				s := c.responses[x.Replaced]
+				c.refuseInPlaceOf(x.Refusal, teaselstream.Attempt(x.Replaced), s.member.ID, s.upstreamResponse.status)
+				return true
+			}
 			if x.Refusal != nil {
 				c.log("CallUnanswered", slog.LevelInfo, "servers", slices.Sorted(maps.Keys(c.tried)), "sends", c.sends,
 					"viewAgeMs", time.Since(c.handler.View().At).Milliseconds())
--- a/proxy/cut_test.go
+++ b/proxy/cut_test.go
@@ -266,7 +266,13 @@
 // askOnce sends one request to a handler with the given source of views.
 func askOnce(t *testing.T, view func() *fleet.View, path string) string {
 	t.Helper()
-	_, gate := startServer(t, newHandler(view).Serve)
+	return askHandler(t, newHandler(view), path)
+}
+
+// askHandler sends one request to a handler.
+func askHandler(t *testing.T, h *Handler, path string) string {
+	t.Helper()
+	_, gate := startServer(t, h.Serve)
 	c, err := net.Dial("tcp", gate)
 	if err != nil {
 		t.Fatal(err)
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -198,6 +198,13 @@
 	r.recordOutcome(e.Code, e.Outcome)
 }
 
+// refuseInPlaceOf responds with an error of the router itself instead of a server's answer with the given status.
+func (r *request) refuseInPlaceOf(e *teaselstream.Error, n teaselstream.Attempt, server teaselstream.ServerID, serverStatus int) {
+	status := statusOf(e)
+	r.log("AnswerReplaced", slog.LevelInfo, "attempt", n, "server", string(server), "serverStatus", serverStatus, "status", status, "reason", e.Message)
+	r.refuse(status, e)
+}
+
 func (r *request) recordOutcome(code teaselstream.Code, o teaselstream.Outcome) {
 	r.class.Ended(time.Since(r.Arrived), code, o)
 }
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -294,7 +294,10 @@
 }
 
 func (s *streamRunner) finish(c flow.Finish) {
+	a := s.attempts[c.Replaced]
 	switch {
+	case c.Refusal != nil && a != nil && a.response != nil:
+		s.refuseInPlaceOf(c.Refusal, c.Replaced, a.first.ID, a.response.status)
 	case c.Refusal != nil:
 		if c.Refusal.Code == teaselstream.CodeNoRoute {
 			s.logUncovered()
--- a/trace/cause.go
+++ b/trace/cause.go
@@ -24,6 +24,10 @@
 }
 
 func refusalCause(x Line, lines []Line) string {
+	if r := lastOf(lines, "AnswerReplaced"); r != nil {
+		return fmt.Sprintf("server %s answered with status %.0f, which callers take for a promise: %s; the caller got %.0f",
+			r.text("server"), r.number("serverStatus"), r.text("reason"), r.number("status"))
+	}
 	switch teaselstream.Code(x.text("code")) {
 	case teaselstream.CodeNoRoute:
 		if p := lastOf(lines, "PathNotFound"); p != nil {
