crash: do not convict traits of requests that only waited

Cause: a shared segment was on each server that the harmful one was on, and in more requests, since eight long prompts waited there each time; the tie went to the trait of more requests, which is the wider of two nested ones. The caller pauses for 5 s, and an answer spoke for a segment for 2 s only.

Change: requests whose answer had begun explain losses first, and those that only waited what remains. A signature is the largest set of traits that explains the same losses. A full report drops such requests first. CrashSignatureFound says on how many servers an answer had begun.

Why it works: a server crashes as it begins to write an answer, which a waiting request does not.

--- a/cmd/gate/report.go
+++ b/cmd/gate/report.go
@@ -32,7 +32,7 @@
 
 func (c *controlLoop) logSignature(x crash.LogSignature) {
 	if x.Found {
-		c.log.Warn("CrashSignatureFound", "traits", x.Signature.Traits, "servers", x.Servers)
+		c.log.Warn("CrashSignatureFound", "traits", x.Signature.Traits, "servers", x.Servers, "begun", x.Begun)
 		return
 	}
 	c.log.Info("CrashSignatureEnded", "traits", x.Signature.Traits)
--- a/crash/fleet_test.go
+++ b/crash/fleet_test.go
@@ -60,6 +60,8 @@
 		cut bool
 		// restarts restarts a VM each second.
 		restarts bool
+		// headUnseen makes servers crash before the head of a harmful request's answer reaches its VM.
+		headUnseen bool
 	}
 
 	fleetVM struct {
@@ -216,8 +218,7 @@
 // send sends a request by a random VM to a random server and reports whether it was refused as one that crashes servers.
 func (f *fleetRun) send(harmful bool, traits []Trait) (refused bool) {
 	i := f.rand.IntN(len(f.vms))
-	v := f.vms[i]
-	if v.quarantine.Refuses(traits) {
+	if f.vms[i].quarantine.Refuses(traits) {
 		return true
 	}
 	var up []*fleetServer
@@ -229,7 +230,15 @@
 	if len(up) == 0 {
 		return false
 	}
-	s := up[f.rand.IntN(len(up))]
+	return f.sendTo(i, up[f.rand.IntN(len(up))], harmful, traits, firstToken)
+}
+
+// sendTo sends a request by a VM to a server that begins to answer it after a time.
+func (f *fleetRun) sendTo(i int, s *fleetServer, harmful bool, traits []Trait, first time.Duration) (refused bool) {
+	v := f.vms[i]
+	if v.quarantine.Refuses(traits) {
+		return true
+	}
 	r := &fleetRequest{id: f.number(), vm: v, life: v.life, traits: traits}
 	s.running[r.id] = r
 	// A VM that has just started is not in touch with the others yet.
@@ -237,17 +246,17 @@
 		f.harmfulAt = append(f.harmfulAt, f.Now())
 	}
 	incarnation := s.incarnation
-	f.After(firstToken, func() {
+	f.After(first, func() {
 		if s.incarnation != incarnation || s.down {
 			return
 		}
-		r.begun = true
+		r.begun = !harmful || !f.headUnseen
 		if harmful {
 			f.crashes = append(f.crashes, f.Now())
 			f.crash(s)
 		}
 	})
-	f.After(soundAfter, func() {
+	f.After(first+soundAfter-firstToken, func() {
 		if s.incarnation == incarnation && !s.down {
 			r.sound = true
 			f.update(i, r.life, Answered{Traits: traits})
--- a/crash/judge.go
+++ b/crash/judge.go
@@ -69,7 +69,7 @@
 	var cmds []teaselstream.Cmd
 	for _, key := range slices.Sorted(maps.Keys(refused)) {
 		if _, ok := t.refused[key]; !ok {
-			cmds = append(cmds, LogSignature{Signature: refused[key], Found: true, Servers: t.found[key].servers})
+			cmds = append(cmds, LogSignature{Signature: refused[key], Found: true, Servers: t.found[key].servers, Begun: t.found[key].begun})
 		}
 	}
 	for _, key := range slices.Sorted(maps.Keys(t.refused)) {
@@ -80,44 +80,58 @@
 	return cmds
 }
 
-// signatures returns the fewest signatures that explain the losses, by the greedy cover of sets: the trait that was on most
-// servers at their end explains all these losses, and other requests on the same servers are not suspected of them.
+// signatures returns the fewest signatures that explain the losses, by the greedy cover of sets: the traits that were on most
+// servers at their end explain all these losses, and other requests on the same servers are not suspected of them. A server crashes as
+// it begins to write an answer, so that requests whose answer had begun go first. Those that were only waiting count for the losses that
+// remain, since the head of an answer may be lost with its server.
 func (t *Tracker) signatures() []foundSignature {
 	open := maps.Clone(t.losses)
 	var out []foundSignature
-	for len(out) < maxSignatures {
-		best, ok := worstTrait(open)
-		if !ok || best.losses < minLosses {
-			return out
-		}
-		s := foundSignature{Signature: commonTraits(open, best.trait)}
-		for _, k := range slices.SortedFunc(maps.Keys(open), compareLosses) {
-			if open[k].has(best.trait) {
+	for _, onlyBegun := range []bool{true, false} {
+		for len(out) < maxSignatures {
+			best, ok := worstTrait(open, onlyBegun)
+			if !ok || best.losses < minLosses {
+				break
+			}
+			s := foundSignature{Signature: narrowest(open, best.trait, onlyBegun)}
+			for _, k := range slices.SortedFunc(maps.Keys(open), compareLosses) {
+				explained, begun := open[k].explainedBy(s.Signature)
+				if !explained {
+					continue
+				}
 				s.servers = append(s.servers, k.server)
+				if begun {
+					s.begun++
+				}
 				delete(open, k)
 			}
+			out = append(out, s)
 		}
-		out = append(out, s)
 	}
 	return out
 }
 
-func (l *loss) has(x Trait) bool {
+// explainedBy reports whether a request of the loss has the signature, and whether the answer to such a request had begun.
+func (l *loss) explainedBy(x Signature) (explained, begun bool) {
 	for _, s := range l.requests {
-		if slices.Contains(s.traits, x) {
-			return true
+		if x.matches(s.traits) {
+			explained, begun = true, begun || s.begun
 		}
 	}
-	return false
+	return explained, begun
 }
 
-// worstTrait returns the trait with the most evidence; ok is false if there is none.
-func worstTrait(losses map[lossKey]*loss) (best candidate, ok bool) {
+// worstTrait returns the trait with the most evidence among all suspected requests, or those whose answer had begun; ok is false if there is
+// none.
+func worstTrait(losses map[lossKey]*loss, onlyBegun bool) (best candidate, ok bool) {
 	candidates := make(map[Trait]*candidate)
 	for _, l := range losses {
 		// seen holds the traits of this loss, with whether the response to such a request had begun.
 		seen := make(map[Trait]bool)
 		for _, s := range l.requests {
+			if onlyBegun && !s.begun {
+				continue
+			}
 			for _, x := range s.traits {
 				if candidates[x] == nil {
 					candidates[x] = &candidate{trait: x}
@@ -145,23 +159,51 @@
 	return cmp.Or(cmp.Compare(c.losses, other.losses), cmp.Compare(c.begun, other.begun), cmp.Compare(c.requests, other.requests)) > 0
 }
 
-// commonTraits returns the traits that all suspected requests with a trait share. Those that always occurred together cannot
-// be told apart, and a request with only some of them may be sound.
-func commonTraits(losses map[lossKey]*loss, x Trait) Signature {
-	var common []Trait
-	first := true
+// narrowest returns the largest set of traits, a given one among them, that explains the same losses as that one alone: each loss has a
+// request with all of them. A signature that is too narrow ends with the next crash, which it does not explain. One that is too wide
+// refuses sound requests too, and after that no answer and no crash can show the mistake.
+func narrowest(losses map[lossKey]*loss, x Trait, onlyBegun bool) Signature {
+	s := Signature{Traits: []Trait{x}}
+	for {
+		further := furtherTraits(losses, s, onlyBegun)
+		if len(further) == 0 {
+			slices.Sort(s.Traits)
+			return s
+		}
+		// The trait of the fewest requests is the narrowest one. A server crashes at the first harmful request that it begins, while
+		// any number of sound ones may wait on it.
+		s.Traits = append(s.Traits, slices.MinFunc(slices.Sorted(maps.Keys(further)), func(a, b Trait) int { return cmp.Compare(further[a], further[b]) }))
+	}
+}
+
+// furtherTraits returns the traits that a request with the signature has in each loss that the signature explains, with the number of these
+// requests.
+func furtherTraits(losses map[lossKey]*loss, x Signature, onlyBegun bool) map[Trait]int {
+	var common map[Trait]int
 	for _, l := range losses {
+		here := make(map[Trait]int)
+		explained := false
 		for _, s := range l.requests {
-			if !slices.Contains(s.traits, x) {
+			if onlyBegun && !s.begun || !x.matches(s.traits) {
 				continue
 			}
-			if first {
-				common, first = slices.Clone(s.traits), false
-				continue
+			explained = true
+			for _, y := range s.traits {
+				if !slices.Contains(x.Traits, y) {
+					here[y]++
+				}
+			}
+		}
+		switch {
+		case !explained:
+		case common == nil:
+			common = here
+		default:
+			maps.DeleteFunc(common, func(y Trait, _ int) bool { return here[y] == 0 })
+			for y := range common {
+				common[y] += here[y]
 			}
-			common = slices.DeleteFunc(common, func(y Trait) bool { return !slices.Contains(s.traits, y) })
 		}
 	}
-	slices.Sort(common)
-	return Signature{Traits: common}
+	return common
 }
--- a/crash/message.go
+++ b/crash/message.go
@@ -91,7 +91,9 @@
 		Signature Signature
 		// Found is false if the signature ended.
 		Found bool
-		// Servers lists the servers that ended with a request that has the signature.
+		// Servers lists the servers that ended with a request that has the signature, and Begun is the number of those that had begun to
+		// answer such a request.
 		Servers []teaselstream.ServerID
+		Begun   int
 	}
 )
--- a/crash/record.go
+++ b/crash/record.go
@@ -16,10 +16,11 @@
 	recordSubject = "record"
 )
 
-// allSound reports whether servers have answered requests with each of the traits lately. A signature of such traits is wrong: the
-// VM that found it was cut off, or saw none of these answers.
-func (t *Tracker) allSound(traits []Trait) bool {
-	return !slices.ContainsFunc(traits, func(x Trait) bool { _, ok := t.soundAt[x]; return !ok })
+// allSound reports whether servers have answered requests with each of the traits within reportTTL. A signature of such traits is wrong:
+// the VM that found it was cut off, or saw none of these answers. An older answer does not show that, since a trait may have become harmful
+// with a new version of a server.
+func (t *Tracker) allSound(now time.Time, traits []Trait) bool {
+	return !slices.ContainsFunc(traits, func(x Trait) bool { at, ok := t.soundAt[x]; return !ok || now.Sub(at) > reportTTL })
 }
 
 func (t *Tracker) readRecord(now time.Time, m RecordRead) {
@@ -35,7 +36,7 @@
 	for _, s := range m.Record.Signatures {
 		if now.Sub(time.Unix(s.FoundAt, 0)) <= signatureTTL && len(s.Traits) > 0 {
 			t.record[s.key()] = s
-			if _, known := t.refused[s.key()]; !known && t.allSound(s.Traits) {
+			if _, known := t.refused[s.key()]; !known && t.allSound(now, s.Traits) {
 				t.revoked[s.key()] = true
 			}
 		}
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -15,6 +15,9 @@
 	// soundWindow is how long before the end of a server an answer still shows that a trait is sound. It covers the traits of
 	// frequent requests, some of which are on every server at any time.
 	soundWindow = 2 * time.Second
+	// waitingSoundWindow is the same for a segment of a request that only waited on the server. Such a request is weak evidence, and callers
+	// pause for seconds or minutes. It is as long as a loss is remembered.
+	waitingSoundWindow = evidenceTTL
 	// commonCauseWindow and commonCauseLosses tell servers that end for a common reason from those that end because of a
 	// request: so many at once have lost power, or this VM the links to them. A cut link may refuse connections like an ended
 	// server. All connections then break within some milliseconds, while requests that crash servers come one after the other.
@@ -28,10 +31,12 @@
 	publishInterval = 100 * time.Millisecond
 	// reportTTL is how long an observation stays in the report; every VM reads changes within two seconds.
 	reportTTL = 30 * time.Second
-	// maxReported limits the suspicions and the clearances in a report, and maxLosses and maxSignatures the memory.
+	// maxReported limits the suspicions and the clearances in a report, and maxLosses, maxSignatures and maxSound the memory: an entry of
+	// soundAt takes some 150 bytes.
 	maxReported   = 32
 	maxLosses     = 256
 	maxSignatures = 64
+	maxSound      = 20_000
 	// clearanceDelay, times a VM's rank for the trait, is how long a VM waits for the clearance of another VM before it reports
 	// its own, so that a large fleet does not report each frequent trait hundreds of times.
 	clearanceDelay = 200 * time.Millisecond
@@ -53,7 +58,8 @@
 		dismissed map[Trait]map[lossKey]bool
 		// recent holds the losses of this VM that may still have a common cause.
 		recent []ownSuspicion
-		// own holds the suspicions and cleared the clearances of this VM's report; clearDue holds when further ones are due.
+		// own holds the suspicions of this VM's report, and cleared its clearances with the time since when they are in it; clearDue
+		// holds when further ones are due.
 		own       []ownSuspicion
 		cleared   map[Trait]time.Time
 		clearDue  map[Trait]time.Time
@@ -103,6 +109,8 @@
 		Signature
 		since   time.Time
 		servers []teaselstream.ServerID
+		// begun is the number of servers that had begun to answer such a request.
+		begun int
 	}
 )
 
@@ -160,13 +168,21 @@
 			continue
 		}
 		t.add(s.at, own.Suspicion)
-		t.own = append(t.own, own)
-		t.own = t.own[max(len(t.own)-maxReported, 0):]
+		t.own = dropSurplus(append(t.own, own))
 		t.unsent = true
 	}
 	t.recent = slices.DeleteFunc(t.recent, func(s ownSuspicion) bool { return now.Sub(s.at) >= 2*commonCauseWindow })
 }
 
+// dropSurplus removes the oldest suspicion if there are more than a report holds, and first those of requests that only waited.
+func dropSurplus(all []ownSuspicion) []ownSuspicion {
+	if len(all) <= maxReported {
+		return all
+	}
+	i := max(slices.IndexFunc(all, func(s ownSuspicion) bool { return !s.Begun }), 0)
+	return slices.Delete(all, i, i+1)
+}
+
 // endedAround returns the number of servers that ended within commonCauseWindow of a time, by the requests of this VM.
 func (t *Tracker) endedAround(at time.Time) int {
 	servers := make(map[lossKey]bool)
@@ -178,11 +194,19 @@
 	return len(servers)
 }
 
+// soundTime returns how long before the end of a server an answer clears a trait of a request on that server.
+func soundTime(x Trait, begun bool) time.Duration {
+	if begun || x.isContent() {
+		return soundWindow
+	}
+	return waitingSoundWindow
+}
+
 // suspectTraits returns the traits of a request that no server has answered shortly before its server ended or since.
 func (t *Tracker) suspectTraits(lostAt time.Time, s Suspicion) []Trait {
 	var out []Trait
 	for _, x := range s.Traits {
-		if sound, ok := t.soundAt[x]; ok && sound.After(lostAt.Add(-soundWindow)) {
+		if sound, ok := t.soundAt[x]; ok && sound.After(lostAt.Add(-soundTime(x, s.Begun))) {
 			t.dismiss(x, lossKey{s.Server, s.Incarnation})
 			continue
 		}
@@ -270,11 +294,11 @@
 // clear removes a trait from the losses that its answer at the given time rules out as caused by it.
 func (t *Tracker) clear(x Trait, soundAt time.Time) {
 	for k, l := range t.losses {
-		if l.at.After(soundAt.Add(soundWindow)) {
+		if l.at.After(soundAt.Add(soundTime(x, false))) {
 			continue
 		}
 		for id, s := range l.requests {
-			if !slices.Contains(s.traits, x) {
+			if !slices.Contains(s.traits, x) || l.at.After(soundAt.Add(soundTime(x, s.begun))) {
 				continue
 			}
 			s.traits = slices.DeleteFunc(slices.Clone(s.traits), func(y Trait) bool { return y == x })
@@ -316,7 +340,7 @@
 func (t *Tracker) publish(now time.Time) []teaselstream.Cmd {
 	for x, due := range t.clearDue {
 		if !now.Before(due) {
-			t.cleared[x] = t.soundAt[x]
+			t.cleared[x] = now
 			delete(t.clearDue, x)
 			delete(t.dismissed, x)
 			t.unsent = true
@@ -333,7 +357,9 @@
 	}
 	traits := slices.SortedFunc(maps.Keys(t.cleared), func(a, b Trait) int { return t.cleared[b].Compare(t.cleared[a]) })
 	for _, x := range traits[:min(len(traits), maxReported)] {
-		r.Cleared = append(r.Cleared, Clearance{x, now.Sub(t.cleared[x])})
+		if sound, ok := t.soundAt[x]; ok {
+			r.Cleared = append(r.Cleared, Clearance{x, now.Sub(sound)})
+		}
 	}
 	return []teaselstream.Cmd{PublishReport{r}}
 }
@@ -350,7 +376,11 @@
 			t.unjudged = true
 		}
 	}
-	maps.DeleteFunc(t.soundAt, func(_ Trait, at time.Time) bool { return now.Sub(at) > reportTTL })
+	soundTTL := waitingSoundWindow
+	if len(t.soundAt) > maxSound {
+		soundTTL = reportTTL
+	}
+	maps.DeleteFunc(t.soundAt, func(_ Trait, at time.Time) bool { return now.Sub(at) > soundTTL })
 	maps.DeleteFunc(t.cleared, func(_ Trait, at time.Time) bool { return now.Sub(at) > reportTTL })
 	maps.DeleteFunc(t.dismissed, func(x Trait, _ map[lossKey]bool) bool { _, sound := t.soundAt[x]; return !sound })
 	maps.DeleteFunc(t.clearDue, func(x Trait, _ time.Time) bool { _, sound := t.soundAt[x]; return !sound })
--- a/crash/tracker_test.go
+++ b/crash/tracker_test.go
@@ -73,16 +73,19 @@
 	return traits
 }
 
-// message parses "lost SERVER TRAIT...", "heard SERVER TRAIT...", which is the same from another VM, "answered TRAIT...",
-// "cleared TRAIT" by another VM, "record ERA:REVISION [TRAIT...]" with one signature and "tick".
+// message parses "lost SERVER TRAIT...", "begun SERVER TRAIT...", which is the same with an answer that had begun, "heard SERVER TRAIT..." and
+// "heard-begun SERVER TRAIT...", which are the same from another VM, "answered TRAIT...", "cleared TRAIT" by another VM,
+// "record ERA:REVISION [TRAIT...]" with one signature and "tick".
 func (s *trackerScript) message(t *testing.T, f []string) teaselstream.Msg {
 	s.requests++
 	request := teaselstream.AttemptID(strconv.Itoa(s.requests))
 	switch f[0] {
-	case "lost":
-		return Lost{Request: request, Server: teaselstream.ServerID(f[1]), Traits: traitsOf(f[2:])}
-	case "heard":
-		return ReportRead{Report{WrittenAt: s.start.Unix(), Suspicions: []Suspicion{{Request: request, Server: teaselstream.ServerID(f[1]), Traits: traitsOf(f[2:])}}}}
+	case "lost", "begun":
+		return Lost{Request: request, Server: teaselstream.ServerID(f[1]), Traits: traitsOf(f[2:]), Begun: f[0] == "begun"}
+	case "heard", "heard-begun":
+		return ReportRead{Report{WrittenAt: s.start.Unix(), Suspicions: []Suspicion{{
+			Request: request, Server: teaselstream.ServerID(f[1]), Traits: traitsOf(f[2:]), Begun: f[0] == "heard-begun",
+		}}}}
 	case "answered":
 		return Answered{traitsOf(f[1:])}
 	case "cleared":
