crash: take a signature out of the store when others explain its losses

What callers saw: a wrong signature that was recorded within 2 s stayed in force for its hour, although the VMs derived another one from the same losses, for example once the report of the harmful request had come.

Cause: judge derives signatures anew from all losses, but what the store keeps was only taken out when a server answered a request with all its traits, which can't happen while all of them are refused.

Change: a VM that knows three losses which a recorded signature explains, and no longer derives it from them, revokes it and writes the record without it. A VM that does not know the losses keeps it.

Why it works: the losses are the only evidence for the signature, and the same VMs have them.

--- a/crash/judge.go
+++ b/crash/judge.go
@@ -37,6 +37,7 @@
 		found[s.key()] = s
 	}
 	t.found = found
+	t.revokeSuperseded()
 	refused := make(map[string]Signature, len(found)+len(t.record))
 	for key, s := range found {
 		refused[key] = s.Signature
@@ -65,6 +66,29 @@
 	return append(cmds, PublishQuarantine{q})
 }
 
+// revokeSuperseded revokes the recorded signatures for which this VM knows enough losses and that others explain better by now. A VM that
+// does not know the losses keeps what is recorded.
+func (t *Tracker) revokeSuperseded() {
+	if len(t.found) >= maxSignatures {
+		// The losses of a recorded signature may be among those that are left.
+		return
+	}
+	for key, s := range t.record {
+		if _, ok := t.found[key]; ok {
+			continue
+		}
+		n := 0
+		for _, l := range t.losses {
+			if explained, _ := l.explainedBy(s.Signature); explained {
+				n++
+			}
+		}
+		if n >= minLosses {
+			t.revoked[key] = true
+		}
+	}
+}
+
 func (t *Tracker) logChanges(refused map[string]Signature) []teaselstream.Cmd {
 	var cmds []teaselstream.Cmd
 	for _, key := range slices.Sorted(maps.Keys(refused)) {
