crash: let only VMs that derived a signature take it out of the store

Cause: since a VM revoked a recorded signature that its own losses explain with a narrower one. A VM that started later knows only some of the losses, and what these share may be narrower than what all of them do, so that it would have taken a right signature out.

Change: a VM revokes such a signature only if it has derived it itself.

--- a/crash/judge.go
+++ b/crash/judge.go
@@ -30,6 +30,7 @@
 	t.unjudged = false
 	found := make(map[string]foundSignature)
 	for _, s := range t.signatures() {
+		t.derived[s.key()] = true
 		s.since = now
 		if earlier, ok := t.found[s.key()]; ok {
 			s.since = earlier.since
@@ -66,15 +67,15 @@
 	return append(cmds, PublishQuarantine{q})
 }
 
-// revokeSuperseded revokes the recorded signatures for which this VM knows enough losses and that others explain better by now. A VM that
-// does not know the losses keeps what is recorded.
+// revokeSuperseded revokes the recorded signatures that this VM has derived itself and that others explain better by now. A VM that knows
+// only some of the losses, since it started later, may find a narrower signature in them and keeps what is recorded.
 func (t *Tracker) revokeSuperseded() {
 	if len(t.found) >= maxSignatures {
 		// The losses of a recorded signature may be among those that are left.
 		return
 	}
 	for key, s := range t.record {
-		if _, ok := t.found[key]; ok {
+		if _, ok := t.found[key]; ok || !t.derived[key] {
 			continue
 		}
 		n := 0
@@ -87,6 +88,11 @@
 			t.revoked[key] = true
 		}
 	}
+	maps.DeleteFunc(t.derived, func(key string, _ bool) bool {
+		_, recorded := t.record[key]
+		_, found := t.found[key]
+		return !recorded && !found
+	})
 }
 
 func (t *Tracker) logChanges(refused map[string]Signature) []teaselstream.Cmd {
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -70,6 +70,8 @@
 
 		// found holds the signatures that follow from the losses, with the time since when.
 		found map[string]foundSignature
+		// derived holds which of found and record this VM has derived from losses at some time.
+		derived map[string]bool
 		// record holds the signatures that the store keeps, and revoked those of them that a server has answered since.
 		record  map[string]RecordedSignature
 		revoked map[string]bool
@@ -124,7 +126,7 @@
 		t.dismissed = make(map[Trait]map[lossKey]bool)
 		t.cleared, t.clearDue = make(map[Trait]time.Time), make(map[Trait]time.Time)
 		t.found, t.refused = make(map[string]foundSignature), make(map[string]Signature)
-		t.record, t.revoked = make(map[string]RecordedSignature), make(map[string]bool)
+		t.record, t.revoked, t.derived = make(map[string]RecordedSignature), make(map[string]bool), make(map[string]bool)
 	}
 	switch m := m.(type) {
 	case Lost:
