crash: try a recorded signature with one request

What callers saw: a signature that is wrong and covers all requests of a caller was refused for its whole hour (LOST). No answer can end it while nothing with it is sent, and no crash can show a better one.

Cause: a signature ended only by an answer to a request with all its traits.

Change: the first VM in rank sends one request with a recorded signature 10 minutes after its finding and one after 30, each within 5 minutes. An answer ends the signature everywhere; a crash leaves it. CrashTrial logs it.

Why it works: a single request shows at the cost of one server what the evidence can't.

--- a/crash/bystander_test.go
+++ b/crash/bystander_test.go
@@ -160,3 +160,46 @@
 	}
 	t.Error("the report lacks the request whose answer had begun")
 }
+
+// Guards against a wrong signature that is refused everywhere, so that no answer can end it, and against trials of a right one that cost
+// more servers than the platform allows (LOST, BUDGET).
+func TestTrials(t *testing.T) {
+	for _, harmful := range []bool{false, true} {
+		t.Run(fmt.Sprintf("harmful=%t", harmful), func(t *testing.T) {
+			t.Parallel()
+			f := newFleetRun(t, 1, fleetOptions{vms: 8, servers: 8, soundPerSecond: 0.2})
+			x := SegmentTrait("model", "refused")
+			f.record, f.revision = Record{[]RecordedSignature{{Signature{[]Trait{x}}, f.start.Unix()}}}, 1
+			for i := range f.vms {
+				f.startVM(i)
+			}
+			type sent struct {
+				at      time.Time
+				refused bool
+			}
+			var all []sent
+			f.arrivals(0.5, func() {
+				refused := f.send(harmful, []Trait{Trait(fmt.Sprintf("%s%d", contentPrefix, f.number())), x})
+				all = append(all, sent{f.Now(), refused})
+			})
+			f.RunUntil(f.start.Add(signatureTTL - time.Minute))
+			from := f.start.Add(trialTimes[0] + trialWindow)
+			refused, after := 0, 0
+			for _, s := range all {
+				if s.at.After(from) {
+					after++
+				}
+				if s.at.After(from) && s.refused {
+					refused++
+				}
+			}
+			t.Logf("%d servers crashed; %d of %d requests were refused after the first trial", len(f.crashes), refused, after)
+			if !harmful && refused > 0 {
+				t.Errorf("%d of %d sound requests were refused after the first trial", refused, after)
+			}
+			if harmful && (len(f.crashes) > len(trialTimes) || refused < after-len(trialTimes)) {
+				t.Errorf("%d servers crashed, want at most %d; %d of %d harmful requests were refused", len(f.crashes), len(trialTimes), refused, after)
+			}
+		})
+	}
+}
--- a/crash/fleet_test.go
+++ b/crash/fleet_test.go
@@ -218,9 +218,6 @@
 // send sends a request by a random VM to a random server and reports whether it was refused as one that crashes servers.
 func (f *fleetRun) send(harmful bool, traits []Trait) (refused bool) {
 	i := f.rand.IntN(len(f.vms))
-	if f.vms[i].quarantine.Refuses(traits) {
-		return true
-	}
 	var up []*fleetServer
 	for _, s := range f.servers {
 		if !s.down {
@@ -236,7 +233,7 @@
 // sendTo sends a request by a VM to a server that begins to answer it after a time.
 func (f *fleetRun) sendTo(i int, s *fleetServer, harmful bool, traits []Trait, first time.Duration) (refused bool) {
 	v := f.vms[i]
-	if v.quarantine.Refuses(traits) {
+	if v.quarantine.Refuses(traits) && !v.quarantine.TakeTrial(traits) {
 		return true
 	}
 	r := &fleetRequest{id: f.number(), vm: v, life: v.life, traits: traits}
--- a/crash/judge.go
+++ b/crash/judge.go
@@ -50,7 +50,7 @@
 	}
 	cmds := t.logChanges(refused)
 	t.refused = refused
-	q := &Quarantine{suspected: make(map[Trait]bool)}
+	q := &Quarantine{suspected: make(map[Trait]bool), trials: maps.Clone(t.trials)}
 	for _, key := range slices.Sorted(maps.Keys(refused)) {
 		q.signatures = append(q.signatures, refused[key])
 		for _, x := range refused[key].Traits {
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -82,6 +82,8 @@
 		restoredAt time.Time
 		incomplete bool
 		refused    map[string]Signature
+		// trials holds the open trials by the key of their signature.
+		trials map[string]*trial
 	}
 
 	lossKey struct {
@@ -127,6 +129,7 @@
 		t.cleared, t.clearDue = make(map[Trait]time.Time), make(map[Trait]time.Time)
 		t.found, t.refused = make(map[string]foundSignature), make(map[string]Signature)
 		t.record, t.revoked, t.derived = make(map[string]RecordedSignature), make(map[string]bool), make(map[string]bool)
+		t.trials = make(map[string]*trial)
 	}
 	switch m := m.(type) {
 	case Lost:
@@ -393,4 +396,5 @@
 			t.unjudged = true
 		}
 	}
+	t.updateTrials(now)
 }
--- a/crash/tracker_test.go
+++ b/crash/tracker_test.go
@@ -35,7 +35,13 @@
 func (s *trackerScript) run(t *testing.T, d *datadriven.TestData) string {
 	if d.Cmd == "new" {
 		s.tracker, s.quarantine = Tracker{}, nil
-		s.tracker.Update(s.start, Peers{Self: "vm1", VMs: []teaselstream.VMID{"vm1"}})
+		vms := []teaselstream.VMID{"vm1"}
+		if d.HasArg("second") {
+			// vm2 is the first in rank for the trait.
+			vms = teaselstream.RendezvousOrder("bad", []teaselstream.VMID{"vm1", "vm2", "vm3"})
+			vms = []teaselstream.VMID{vms[1], vms[0]}
+		}
+		s.tracker.Update(s.start, Peers{Self: vms[0], VMs: vms})
 		return "ok"
 	}
 	var out strings.Builder
@@ -49,6 +55,10 @@
 			fmt.Fprintf(&out, "%s: refuses %v: %t\n", f[0], f[2:], s.quarantine.Refuses(traitsOf(f[2:])))
 			continue
 		}
+		if f[1] == "try" {
+			fmt.Fprintf(&out, "%s: try %v: %t\n", f[0], f[2:], s.quarantine.TakeTrial(traitsOf(f[2:])))
+			continue
+		}
 		for _, c := range s.tracker.Update(s.start.Add(at), s.message(t, f[1:])) {
 			switch c := c.(type) {
 			case PublishQuarantine:
--- a/crash/trait.go
+++ b/crash/trait.go
@@ -19,10 +19,12 @@
 		Traits []Trait
 	}
 
-	// Quarantine is an immutable set of signatures; nil is the empty set.
+	// Quarantine is an immutable set of signatures, some of which may be on trial; nil is the empty set.
 	Quarantine struct {
 		signatures []Signature
 		suspected  map[Trait]bool
+		// trials holds the open trials by the key of their signature; they are shared with later sets.
+		trials map[string]*trial
 	}
 )
 
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -59,8 +59,23 @@
 	return h.Quarantine()
 }
 
-// mayRun reports whether the request has no signature of requests that crash servers.
-func (r *request) mayRun() bool { return !r.handler.quarantine().Refuses(r.traits) }
+// mayRun reports whether the request may be sent to a server: it has no signature of requests that crash servers, or is the one request that
+// is sent on trial.
+func (r *request) mayRun() bool {
+	q := r.handler.quarantine()
+	if !q.Refuses(r.traits) {
+		return true
+	}
+	if r.onTrial || !q.TakeTrial(r.traits) {
+		return false
+	}
+	r.onTrial = true
+	r.log("CrashTrial", slog.LevelInfo, "traits", r.traits)
+	return true
+}
+
+// isHarmful reports whether the request, which was sent, has a signature of requests that crash servers and was not sent on trial.
+func (r *request) isHarmful() bool { return !r.onTrial && r.handler.quarantine().Refuses(r.traits) }
 
 // reportSound reports that a server has answered the request, as far as that can matter: the segments of prompts are remembered
 // and the content only if it is suspected.
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -89,6 +89,8 @@
 		firstEventDelay time.Duration
 		// traits identify the request among those that crash servers.
 		traits []crash.Trait
+		// onTrial means that the request was sent although it has a signature of such requests.
+		onTrial bool
 	}
 )
 
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -206,7 +206,7 @@
 	if s.core.Departure != nil {
 		cmds = append(cmds, s.leaveSlow(now, v)...)
 	}
-	if current.events == 0 && !s.mayRun() {
+	if current.events == 0 && s.isHarmful() {
 		return append(cmds, s.core.Update(now, flow.Harmful{})...)
 	}
 	if len(lost) > 0 {
