proxy: refuse answers whose status is none

Cause: net/http accepts any three bytes that parse as a number of at least 0, and the reader of heads checked the framing only.

Change: a status below 100 is no answer; that covers signs, which leave two digits. The request is repeated where it may be, else its caller gets 502, and the server counts as failed, also at a VM that carries the request for another one. So does an orderly end of the connection after an interim status.

Why it works: all that reaches callers passes this reader.

--- a/proxy/carry.go
+++ b/proxy/carry.go
@@ -64,6 +64,9 @@
 	}()
 	m := &outgoingRequest{method: x.Method, target: x.Target, host: x.Host, header: carriedHeader(x.Header), body: x.Body, stream: x.Header.Get(detour.HeaderStream) != ""}
 	a, err := h.sendDirect(ctx, to, r, m, head.Attempt)
+	if err != nil {
+		h.reportInvalid(to, head.Attempt, err)
+	}
 	switch {
 	case errors.Is(err, ErrWithheld):
 		x.refuseExchange(h, detour.ResultWithheld, err)
--- a/proxy/head.go
+++ b/proxy/head.go
@@ -19,6 +19,10 @@
 var (
 	// errHeadTooLarge reports a response head over maxHeadBytes.
 	errHeadTooLarge = fmt.Errorf("%w: its header is over the limit", errInvalidAnswer)
+	// errNoStatus reports a response whose status is no number of three digits from 100 on.
+	errNoStatus = fmt.Errorf("%w: its status is none of HTTP", errInvalidAnswer)
+	// errInterimOnly reports a connection that ends after an interim response.
+	errInterimOnly = fmt.Errorf("%w: an interim status ends it", errInvalidAnswer)
 	// errUnclearEnd reports a response head from which receivers conclude different ends of the body.
 	errUnclearEnd = fmt.Errorf("%w: its header leaves the end of its body unclear", errInvalidAnswer)
 )
@@ -57,11 +61,22 @@
 func (u *serverConn) readResponse(method string) (*http.Response, error) {
 	u.head.active, u.head.left = true, maxHeadBytes
 	defer func() { u.head.active = false }()
-	for {
+	for interim := false; ; interim = true {
+		if interim {
+			if _, err := u.reader.Peek(1); errors.Is(err, io.EOF) {
+				return nil, fmt.Errorf("read answer: %w", errInterimOnly)
+			} else if err != nil {
+				return nil, fmt.Errorf("read answer: %w", markInvalid(err))
+			}
+		}
 		p, err := http.ReadResponse(u.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", markInvalid(err))
 		}
+		// net/http takes any three bytes that parse as a number of at least 0, so that a sign leaves two digits.
+		if p.StatusCode < http.StatusContinue {
+			return nil, fmt.Errorf("read answer: %w", errNoStatus)
+		}
 		if p.StatusCode/100 == 1 {
 			continue
 		}
--- a/proxy/promise_test.go
+++ b/proxy/promise_test.go
@@ -10,7 +10,6 @@
 	"testing"
 
 	"github.com/teaselstream/teaselstream"
-	"github.com/teaselstream/teaselstream/detour"
 	"github.com/teaselstream/teaselstream/fleet"
 )
 
@@ -71,17 +70,9 @@
 	h := newHandler(func() *fleet.View { return v })
 	h.Dialect = statingDialect{}
 	if through {
-		// Another VM finds the server by its address, so that only one may have it.
-		for id, m := range v.Members {
-			if first := v.Pools[m.Service][0]; m != first || m.Service != v.Routing.Match("h", path).Targets[0].Service {
-				delete(v.Members, id)
-			}
-		}
-		carrier := newHandler(func() *fleet.View { return v })
+		carrier := newHandler(h.View)
 		carrier.Dialect = statingDialect{}
-		carrier.Detour = &detour.Chooser{Self: "vm-b", Isolated: func() bool { return false }, Rand: firstPeer{}}
-		peers := []fleet.Peer{{Name: "vm-a", Domain: "near"}, {Name: "vm-b", Domain: "near", Relay: serveCarry(t, carrier)}}
-		h.Detour = &detour.Chooser{Self: "vm-a", Isolated: func() bool { return true }, Peers: func() []fleet.Peer { return peers }, Rand: firstPeer{}}
+		sendThrough(t, h, carrier, v, path)
 	}
 	lines := &lockedBuffer{}
 	h.Log = slog.New(slog.NewJSONHandler(lines, nil))
