hconn, hengin: refuse answers whose status is none

What was wrong: an order to a server, a report, an answer of the store, a call of tsentry to a plain service or a stream of an engine that is answered with the status 000 counted as answered with 200.

Cause: the library returns 200 for a status of 0, and accepts 001 to 099.

Change: the bytes that are read from a connection are followed up to the status of the final answer. A status below 100 ends the call with an unknown outcome, and a stream with an error.

Why it works: the library shows the status only after that step, the connection before it.

--- a/hconn/client.go
+++ b/hconn/client.go
@@ -128,7 +128,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("%w: %w", errDial, err)
 		}
-		return n, nil
+		return &checkedConn{Conn: n}, nil
 	}
 }
 
--- /dev/null
+++ b/hconn/status_test.go
@@ -0,0 +1,105 @@
+package hconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/teaselstream/teaselstream"
+)
+
+// serveText answers each request with a text.
+func serveText(t *testing.T, text string) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r := bufio.NewReader(c)
+				for {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					if _, err := io.WriteString(c, text); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against an answer whose status is none in the protocol and that counts as one: the library takes 000 for 200.
+func TestStatusThatIsNone(t *testing.T) {
+	const rest = "\r\nContent-Length: 4\r\n\r\nbody"
+	for _, text := range []string{
+		"HTTP/1.1 000 Broken" + rest, "HTTP/1.1  000" + rest, "\r\nHTTP/1.1 000 Broken" + rest, "HTTP/1.1 001 Broken" + rest, "HTTP/1.1 099 Broken" + rest,
+		"HTTP/1.1 +20 Broken" + rest, "HTTP/1.1 20 Broken" + rest, "HTTP/1.1 100 Continue\r\nName: value\r\n\r\nHTTP/1.1 000 Broken" + rest,
+		"HTTP/1.1 199 Broken" + rest, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Broken" + rest,
+	} {
+		q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		q.SetRequestURI("http://" + serveText(t, text) + "/")
+		var c Client
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer cancel()
+		if err := c.Do(ctx, q, p); !errors.Is(err, teaselstream.ErrOutcomeUnknown) {
+			t.Errorf("%q: Do() = %v with status %d, want %v", text, err, p.StatusCode(), teaselstream.ErrOutcomeUnknown)
+		}
+	}
+}
+
+// Guards against answers that are refused although their status is one: several on a connection, after an interim one, with bodies that look
+// like a status line.
+func TestStatusesOfAnswers(t *testing.T) {
+	for _, x := range []struct {
+		text string
+		want int
+	}{
+		{"HTTP/1.1 200 OK\r\nContent-Length: 21\r\n\r\n\r\nHTTP/1.1 000 Broken", fasthttp.StatusOK},
+		{"HTTP/1.1 100 Continue\r\nName: value\r\n\r\nHTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\nok", fasthttp.StatusAccepted},
+		{"HTTP/1.1 999 Other\r\nContent-Length: 0\r\n\r\n", 999},
+		{"HTTP/1.1 503\r\nContent-Length: 0\r\n\r\n", fasthttp.StatusServiceUnavailable},
+	} {
+		address := serveText(t, x.text)
+		var c Client
+		for range 3 {
+			q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+			q.SetRequestURI("http://" + address + "/")
+			if err := c.Do(context.Background(), q, p); err != nil || p.StatusCode() != x.want {
+				t.Errorf("%q: Do() = %v with status %d, want status %d", x.text, err, p.StatusCode(), x.want)
+			}
+		}
+	}
+}
+
+// Guards against a status line that is not recognized since it comes in pieces.
+func TestStatusInPieces(t *testing.T) {
+	const text = "\r\nHTTP/1.1  100 Continue\r\nName: value\r\n\r\nHTTP/1.1 000 Broken\r\n"
+	for size := 1; size <= len(text); size++ {
+		var c StatusCheck
+		var err error
+		for at := 0; at < len(text) && err == nil; at += size {
+			err = c.Next([]byte(text[at:min(at+size, len(text))]))
+		}
+		if !errors.Is(err, ErrNoStatus) {
+			t.Errorf("pieces of %d bytes: Next() = %v, want %v", size, err, ErrNoStatus)
+		}
+	}
+}
--- a/hengin/cut_test.go
+++ b/hengin/cut_test.go
@@ -32,3 +32,18 @@
 		t.Errorf("the events have %d bytes, want those of the chunk and the length", len(events))
 	}
 }
+
+// Guards against an engine's answer whose status is none in the protocol and whose events count: the library takes 000 for 200.
+func TestStatusThatIsNone(t *testing.T) {
+	const rest = " Broken\r\nContent-Type: text/event-stream\r\n\r\nevent: done\ndata: {\"Reason\":\"stop\"}\n\n"
+	for _, status := range []string{"000", "001", "099"} {
+		var c Client
+		address, stop := serveAnswer(t, []string{"HTTP/1.1 " + status + rest})
+		got := readAll(t, &c, address)
+		stop()
+		c.Close()
+		if strings.Contains(got, "DoneEvent") || !strings.Contains(got, "answer has no status") {
+			t.Errorf("after status %s the stream is %q", status, got)
+		}
+	}
+}
--- a/hengin/stream.go
+++ b/hengin/stream.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/teaselstream/teaselstream"
+	"github.com/teaselstream/teaselstream/hconn"
 )
 
 const (
@@ -209,6 +210,10 @@
 	}
 	var h fasthttp.ResponseHeader
 	size := i + len(headerEnd)
+	var status hconn.StatusCheck
+	if err := status.Next(s.raw[:size]); err != nil {
+		return fmt.Errorf("header from %s: %w", s.address, err)
+	}
 	if err := h.Read(bufio.NewReaderSize(bytes.NewReader(s.raw[:size]), size+16)); err != nil {
 		return fmt.Errorf("header from %s: %w", s.address, err)
 	}
