--- a/crash/bystander_test.go
+++ b/crash/bystander_test.go
@@ -59,7 +59,7 @@
 			b.crashes = append(b.crashes, b.Now())
 			b.crash(s)
 		case !b.kills:
-			traits := append([]Trait{Trait(fmt.Sprintf("%s%d", contentPrefix, b.number())), b.shared}, b.fleetRun.harmfulTraits(b.harmful)...)
+			traits := append([]Trait{Trait(fmt.Sprintf("%s%d", contentPrefix, b.number())), b.shared}, b.harmfulTraits(b.harmful)...)
 			b.sendTo(vm, s, true, traits, firstToken)
 		}
 	})
