blame: return permits to the VMs that granted them

What was wrong: a VM that became the owner of a subject while a suspect held its permit got the permit back in place of the VM that had granted it. The latter kept it for a minute, and other suspects waited for it.

Cause: releasePermits derived the owner from the live VMs of that time.

Change: a request remembers which VM granted each permit.

--- a/blame/permit.go
+++ b/blame/permit.go
@@ -37,7 +37,7 @@
 	}
 	r := l.requests[m.Request]
 	if r == nil {
-		r = &activeRequest{fingerprint: m.Fingerprint, pending: map[Subject]bool{}, held: map[Subject]bool{}}
+		r = &activeRequest{fingerprint: m.Fingerprint, pending: map[Subject]bool{}, held: map[Subject]teaselstream.VMID{}}
 		l.requests[m.Request] = r
 	}
 	x := l.records[m.Fingerprint]
@@ -69,11 +69,11 @@
 func (l *Tracker) requestPermits(now time.Time, id teaselstream.RequestID, r *activeRequest, subjects []Subject) []teaselstream.Cmd {
 	var cmds []teaselstream.Cmd
 	for _, s := range subjects {
-		if r.held[s] {
+		if r.holds(s) {
 			continue
 		}
 		if name, ok := strings.CutPrefix(string(s), serverPrefix); ok && l.justCrashed(now, teaselstream.ServerID(name)) {
-			r.recordAnswer(s, false)
+			r.recordAnswer(s, l.self, false)
 			continue
 		}
 		if o := ownerOf(s, l.live); o != l.self {
@@ -81,7 +81,7 @@
 			cmds = append(cmds, AskPermit{From: l.self, To: o, Subject: s, Request: id})
 			continue
 		}
-		r.recordAnswer(s, l.grant(now, s, l.self, id))
+		r.recordAnswer(s, l.self, l.grant(now, s, l.self, id))
 	}
 	return append(cmds, l.startOrWait(now, id, r)...)
 }
@@ -92,11 +92,11 @@
 	return ok && now.Sub(at) < crashPause
 }
 
-// recordAnswer records the answer to the permit request for one subject.
-func (r *activeRequest) recordAnswer(s Subject, granted bool) {
+// recordAnswer records the answer of a VM to the permit request for one subject.
+func (r *activeRequest) recordAnswer(s Subject, from teaselstream.VMID, granted bool) {
 	delete(r.pending, s)
 	if granted {
-		r.held[s] = true
+		r.held[s] = from
 		return
 	}
 	r.denied = true
@@ -135,6 +135,12 @@
 	return true
 }
 
+// holds reports whether the request has the permit of a subject.
+func (r *activeRequest) holds(s Subject) bool {
+	_, ok := r.held[s]
+	return ok
+}
+
 func (l *Tracker) handleAskPermit(now time.Time, m AskPermit) []teaselstream.Cmd {
 	granted := !l.refusesPermit(m.Subject) && l.grant(now, m.Subject, m.From, m.Request)
 	return []teaselstream.Cmd{AnswerPermit{From: l.self, To: m.From, Subject: m.Subject, Request: m.Request, Granted: granted}}
@@ -157,7 +163,7 @@
 		}
 		return nil
 	}
-	r.recordAnswer(m.Subject, m.Granted)
+	r.recordAnswer(m.Subject, m.From, m.Granted)
 	return l.startOrWait(now, m.Request, r)
 }
 
@@ -168,7 +174,7 @@
 	}
 }
 
-// releasePermits returns all permits that a request holds.
+// releasePermits returns all permits that a request holds to the VMs that granted them, which may no longer own the subjects.
 func (l *Tracker) releasePermits(id teaselstream.RequestID) []teaselstream.Cmd {
 	r := l.requests[id]
 	if r == nil {
@@ -176,7 +182,7 @@
 	}
 	var cmds []teaselstream.Cmd
 	for _, s := range slices.Sorted(maps.Keys(r.held)) {
-		if o := ownerOf(s, l.live); o != l.self {
+		if o := r.held[s]; o != l.self {
 			cmds = append(cmds, ReleasePermit{From: l.self, To: o, Subject: s, Request: id})
 		} else {
 			l.removePermit(s, l.self, id)
--- a/blame/tracker.go
+++ b/blame/tracker.go
@@ -27,9 +27,9 @@
 		fingerprint Fingerprint
 		// alone says that the request runs with all its permits.
 		alone bool
-		// pending holds the subjects whose owner has not answered, held those whose permit was granted.
+		// pending holds the subjects whose owner has not answered, held those whose permit was granted, with the VM that did.
 		pending map[Subject]bool
-		held    map[Subject]bool
+		held    map[Subject]teaselstream.VMID
 		// busy lists the servers whose permit was denied.
 		busy   []teaselstream.ServerID
 		denied bool
@@ -149,7 +149,7 @@
 	}
 	s := Suspicion{
 		Fingerprint: r.fingerprint, Server: m.Server, Incarnation: m.Incarnation,
-		Domain: m.Domain, Tokens: m.Tokens, Alone: r.alone && r.held[serverPrefix+Subject(m.Server)],
+		Domain: m.Domain, Tokens: m.Tokens, Alone: r.alone && r.holds(serverPrefix+Subject(m.Server)),
 	}
 	var cmds []teaselstream.Cmd
 	if l.recordLoss(now, s) {
