gate: let TestObservedEnd begin once each VM has a path

The VM had not read yet that the replicas held their layers. Its refusal is allowed (NotRun, Retry-After 2 s), so the test was wrong to count it.

Change: before the streams, each VM must answer a short one within the time in which VMs start. All checks of the test are as before.

Why it works: a VM that has served a stream knows a path.

--- a/cmd/gate/observe_test.go
+++ b/cmd/gate/observe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -74,6 +75,25 @@
 	return true
 }
 
+// waitForPaths waits until each VM serves a short stream. A VM reads up to two seconds after the replicas hold their layers that they do, and
+// refuses requests as not run until then.
+func (s *testPlatform) waitForPaths(t *testing.T) {
+	t.Helper()
+	end := time.Now().Add(startTime)
+	for i := range s.gateAddresses {
+		for n := 0; ; n++ {
+			a := s.get(i, "/draft/?n=1", fmt.Sprintf("first-%d-%d", i, n))
+			if a.status == http.StatusOK {
+				break
+			}
+			if time.Now().After(end) {
+				t.Fatalf("VM %d answers %d, error %v, after %s", i, a.status, a.err, startTime)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
 // Guards against VMs that learn of the end of a server only by their own streams, and against streams that are lost because the observing VM
 // is killed at the same time.
 func TestObservedEnd(t *testing.T) {
@@ -87,6 +107,7 @@
 	})
 	s.waitForLines(t, startTime, observingVMs-1, `"msg":"ObserverFound"`)
 	lost := s.middleReplica(t)
+	s.waitForPaths(t)
 	var streams sync.WaitGroup
 	for i := range 2 * observingVMs {
 		streams.Go(func() {
