--- a/crash/doc.go
+++ b/crash/doc.go
@@ -4,7 +4,8 @@
 //
 // Each VM reports which of its requests were on a server without an answer when
 // the server ended. Tracker combines the reports of all VMs, which the store
-// passes on: a trait, such as a segment of the prompt, that was on several
-// servers at their end, and that no server has answered since, becomes part of a
-// Signature. Requests with all traits of a signature are refused everywhere.
+// passes on: traits, such as segments of the prompt, that were together on
+// several servers at their end, and that no server has answered since, become a
+// Signature. Requests with all traits of a signature are refused everywhere, but
+// for a few that are sent on trial later.
 package crash
