--- a/hconn/status_test.go
+++ b/hconn/status_test.go
@@ -1,12 +1,9 @@
 package hconn
 
 import (
-	"bufio"
 	"context"
 	"errors"
-	"io"
-	"net"
-	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,37 +12,6 @@
 	"github.com/teaselstream/teaselstream"
 )
 
-// serveText answers each request with a text.
-func serveText(t *testing.T, text string) (address string) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				r := bufio.NewReader(c)
-				for {
-					if _, err := http.ReadRequest(r); err != nil {
-						return
-					}
-					if _, err := io.WriteString(c, text); err != nil {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // Guards against an answer whose status is none in the protocol and that counts as one: the library takes 000 for 200.
 func TestStatusThatIsNone(t *testing.T) {
 	const rest = "\r\nContent-Length: 4\r\n\r\nbody"
@@ -55,7 +21,7 @@
 		"HTTP/1.1 199 Broken" + rest, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Broken" + rest,
 	} {
 		q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-		q.SetRequestURI("http://" + serveText(t, text) + "/")
+		q.SetRequestURI("http://" + answerWith(t, false, text+"KEEP") + "/")
 		var c Client
 		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 		defer cancel()
@@ -77,7 +43,7 @@
 		{"HTTP/1.1 999 Other\r\nContent-Length: 0\r\n\r\n", 999},
 		{"HTTP/1.1 503\r\nContent-Length: 0\r\n\r\n", fasthttp.StatusServiceUnavailable},
 	} {
-		address := serveText(t, x.text)
+		address := answerWith(t, false, slices.Repeat([]string{x.text + "KEEP"}, 3)...)
 		var c Client
 		for range 3 {
 			q, p := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
