crash: tell a fresh answer although another VM told an older one

What was wrong: since answers speak for 10 minutes against requests that only waited, a VM may tell of an old answer, which does not clear a trait of a request that had begun. A VM with a fresh answer then withheld it. All VMs that know an old answer also told of it at the same time.

--- a/crash/sound.go
+++ b/crash/sound.go
@@ -30,7 +30,7 @@
 	var out []Trait
 	for _, x := range s.Traits {
 		if sound, ok := t.soundAt[x]; ok && sound.After(lostAt.Add(-soundTime(x, s.Begun))) {
-			t.dismiss(x, lossKey{s.Server, s.Incarnation})
+			t.dismiss(lostAt, x, lossKey{s.Server, s.Incarnation})
 			continue
 		}
 		out = append(out, x)
@@ -39,13 +39,18 @@
 }
 
 // dismiss notes that a trait is sound although it was on a server at its end. From the second loss on, other VMs are told.
-func (t *Tracker) dismiss(x Trait, k lossKey) {
+func (t *Tracker) dismiss(lostAt time.Time, x Trait, k lossKey) {
 	if t.dismissed[x] == nil {
 		t.dismissed[x] = make(map[lossKey]bool)
 	}
 	t.dismissed[x][k] = true
 	if _, due := t.clearDue[x]; !due && len(t.dismissed[x]) > 1 {
-		t.clearDue[x] = t.soundAt[x].Add(clearanceDelay * time.Duration(t.rank(string(x))))
+		since := t.soundAt[x]
+		if lostAt.Sub(since) > soundWindow {
+			// Many VMs may know such an old answer.
+			since = lostAt
+		}
+		t.clearDue[x] = since.Add(clearanceDelay * time.Duration(t.rank(string(x))))
 	}
 }
 
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -232,6 +232,10 @@
 			t.soundAt[c.Trait] = at
 		}
 		t.clear(c.Trait, at)
+		if t.soundAt[c.Trait].Sub(at) > soundWindow {
+			// This VM's own answer clears what an older one does not.
+			continue
+		}
 		delete(t.clearDue, c.Trait)
 		delete(t.dismissed, c.Trait)
 	}
--- a/crash/tracker_test.go
+++ b/crash/tracker_test.go
@@ -84,7 +84,7 @@
 }
 
 // message parses "lost SERVER TRAIT...", "begun SERVER TRAIT...", which is the same with an answer that had begun, "heard SERVER TRAIT..." and
-// "heard-begun SERVER TRAIT...", which are the same from another VM, "answered TRAIT...", "cleared TRAIT" by another VM,
+// "heard-begun SERVER TRAIT...", which are the same from another VM, "answered TRAIT...", "cleared TRAIT [AGE]" by another VM,
 // "record ERA:REVISION [TRAIT...]" with one signature and "tick".
 func (s *trackerScript) message(t *testing.T, f []string) teaselstream.Msg {
 	s.requests++
@@ -99,7 +99,14 @@
 	case "answered":
 		return Answered{traitsOf(f[1:])}
 	case "cleared":
-		return ReportRead{Report{WrittenAt: s.start.Unix(), Cleared: []Clearance{{Trait: Trait(f[1])}}}}
+		c := Clearance{Trait: Trait(f[1])}
+		if len(f) > 2 {
+			var err error
+			if c.Age, err = time.ParseDuration(f[2]); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return ReportRead{Report{WrittenAt: s.start.Unix(), Cleared: []Clearance{c}}}
 	case "record":
 		var r RecordRead
 		if n, err := fmt.Sscanf(f[1], "%d:%d", &r.At.Era, &r.At.Revision); n != 2 {
