--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -26,7 +26,7 @@
 	// reportTTL is how long an observation stays in the report; every VM reads changes within two seconds.
 	reportTTL = 30 * time.Second
 	// maxReported limits the suspicions and the clearances in a report, and maxLosses, maxSignatures and maxSound the memory: an entry of
-	// soundAt takes some 150 bytes.
+	// soundAt takes some 110 bytes.
 	maxReported   = 32
 	maxLosses     = 256
 	maxSignatures = 64
