proxy: tell a reset during an upload from the end of an answer

What callers saw: a server answers a long upload at once, without a length, sends a part of the body and resets the connection while the upload is still being written.

Cause: the kernel reports a reset once, to the call that comes first. If that is the write, the read that follows sees an ordinary end, and the error of the write only kept the connection out of the pool.

Change: sock.EndConn wraps connections to servers; after a write that reported a failure, a read returns that failure in place of the end. A write that is still in progress at the end is interrupted, so that its result is known and nothing waits for the upload. EPIPE and a deadline are no failure: Linux reports EPIPE only after the server has ended its side in order.

Why it works: all answers that reach callers are read through this connection, and the failure that a read misses is the one that the write has returned.

--- a/proxy/head.go
+++ b/proxy/head.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/teaselstream/teaselstream/sock"
 )
 
 // maxHeadBytes limits the status line and header of a server's response, with the interim responses before it. A server in
@@ -52,7 +54,8 @@
 	return n, err
 }
 
-func newServerConn(c net.Conn, address string) *serverConn {
+func newServerConn(n net.Conn, address string) *serverConn {
+	c := &sock.EndConn{Conn: n}
 	head := &headLimit{conn: c}
 	return &serverConn{Conn: c, address: address, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}
 }
