hconn, hengin: refuse answers with lines that are no fields

What callers saw: an answer with "Content-Length : 3" in its head, which is no field in the protocol, came with a body of three bytes, and one with "Transfer-Encoding : chunked" was decoded. Names with a blank and lines that continue the line before were accepted too. Orders, reports, the store, calls to plain services and streams of engines read through this code.

Cause: the library accepts blanks in names and joins lines that begin with one; the check of heads followed the status line only.

Change: the check, HeadCheck now, also follows the names of the fields of the last head. A name that is no token, or a line that begins with a blank, ends the call with an unknown outcome. The error names the reason; the library had reported an error before the first byte as a closed connection.

TestUnclearEnds expected the cut body "bod" for a length with a space before its colon, which is this fault; it expects an error now.

Why it works: the check sees each byte before the library does, and ends with the head.

--- a/hconn/cut_test.go
+++ b/hconn/cut_test.go
@@ -121,7 +121,7 @@
 		{"length that is no number", ok + "Content-Length: 3x\r\n\r\nbody", false, ""},
 		{"negative length", ok + "Content-Length: -1\r\n\r\nbody", false, ""},
 		{"no value of the length", ok + "Content-Length:\r\n\r\nbody", false, ""},
-		{"length with a space before its colon", ok + "Content-Length : 3\r\n\r\nbody", false, "200 bod"},
+		{"length with a space before its colon", ok + "Content-Length : 3\r\n\r\nbody", false, ""},
 		{"unknown coding", ok + "Transfer-Encoding: chunke\r\n\r\n4\r\nbody\r\n0\r\n\r\n", false, ""},
 		{"chunks and a length", ok + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n4\r\nbody\r\n0\r\n\r\n", false, "200 body"},
 		{"length and chunks", ok + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", false, "200 body"},
--- a/hconn/status_test.go
+++ b/hconn/head_test.go
@@ -59,7 +59,7 @@
 func TestStatusInPieces(t *testing.T) {
 	const text = "\r\nHTTP/1.1  100 Continue\r\nName: value\r\n\r\nHTTP/1.1 000 Broken\r\n"
 	for size := 1; size <= len(text); size++ {
-		var c StatusCheck
+		var c HeadCheck
 		var err error
 		for at := 0; at < len(text) && err == nil; at += size {
 			err = c.Next([]byte(text[at:min(at+size, len(text))]))
--- a/hengin/stream.go
+++ b/hengin/stream.go
@@ -210,8 +210,8 @@
 	}
 	var h fasthttp.ResponseHeader
 	size := i + len(headerEnd)
-	var status hconn.StatusCheck
-	if err := status.Next(s.raw[:size]); err != nil {
+	var check hconn.HeadCheck
+	if err := check.Next(s.raw[:size]); err != nil {
 		return fmt.Errorf("header from %s: %w", s.address, err)
 	}
 	if err := h.Read(bufio.NewReaderSize(bytes.NewReader(s.raw[:size]), size+16)); err != nil {
