proxy: refuse answers with lines that continue others

Cause: net/http joins such a line to the one before it, and the check of names came after it.

Change: readResponse runs hconn.HeadCheck over the bytes before the library reads them, those that were read together with an earlier answer included. It replaces the checks of the status and of blanks in names after the library.

Why it works: all heads of answers that reach callers are read here, and the check sees the lines as the server wrote them.

--- a/proxy/head.go
+++ b/proxy/head.go
@@ -7,10 +7,10 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
+	"github.com/teaselstream/teaselstream/hconn"
 	"github.com/teaselstream/teaselstream/sock"
 )
 
@@ -21,19 +21,16 @@
 var (
 	// errHeadTooLarge reports a response head over maxHeadBytes.
 	errHeadTooLarge = fmt.Errorf("%w: its header is over the limit", errInvalidAnswer)
-	// errNoStatus reports a response whose status is no number of three digits from 100 on.
-	errNoStatus = fmt.Errorf("%w: its status is none of HTTP", errInvalidAnswer)
 	// errInterimOnly reports a connection that ends after an interim response.
 	errInterimOnly = fmt.Errorf("%w: an interim status ends it", errInvalidAnswer)
-	// errUnclearEnd reports a response head from which receivers conclude different ends of the body.
-	errUnclearEnd = fmt.Errorf("%w: its header leaves the end of its body unclear", errInvalidAnswer)
 )
 
-// headLimit limits how many bytes are read from a connection while a response head is parsed.
+// headLimit checks the bytes that are read from a connection while a response head is parsed, and limits their number.
 type headLimit struct {
 	conn   io.Reader
 	active bool
 	left   int
+	check  hconn.HeadCheck
 	// lastRead is the time of the last read that returned something, or of the last request, in Unix nanoseconds.
 	lastRead atomic.Int64
 }
@@ -51,6 +48,9 @@
 	n, err := l.conn.Read(p[:min(len(p), l.left)])
 	l.left -= n
 	l.lastRead.Store(time.Now().UnixNano())
+	if invalid := l.check.Next(p[:n]); invalid != nil {
+		return 0, invalid
+	}
 	return n, err
 }
 
@@ -62,8 +62,16 @@
 
 // readResponse reads a status and header and skips interim (1xx) responses.
 func (u *serverConn) readResponse(method string) (*http.Response, error) {
-	u.head.active, u.head.left = true, maxHeadBytes
+	u.head.active, u.head.left, u.head.check = true, maxHeadBytes, hconn.HeadCheck{}
 	defer func() { u.head.active = false }()
+	// The head may have been read together with an answer to an earlier request.
+	buffered, err := u.reader.Peek(u.reader.Buffered())
+	if err != nil {
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
+	if err := u.head.check.Next(buffered); err != nil {
+		return nil, fmt.Errorf("read answer: %w", markInvalid(err))
+	}
 	for interim := false; ; interim = true {
 		if interim {
 			if _, err := u.reader.Peek(1); errors.Is(err, io.EOF) {
@@ -76,17 +84,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("read answer: %w", markInvalid(err))
 		}
-		// net/http takes any three bytes that parse as a number of at least 0, so that a sign leaves two digits.
-		if p.StatusCode < http.StatusContinue {
-			return nil, fmt.Errorf("read answer: %w", errNoStatus)
-		}
-		if p.StatusCode/100 == 1 {
-			continue
-		}
-		if hasUnclearEnd(p) {
-			return nil, fmt.Errorf("read answer: %w", errUnclearEnd)
+		if p.StatusCode/100 != 1 {
+			return p, nil
 		}
-		return p, nil
 	}
 }
 
@@ -98,14 +98,3 @@
 	}
 	return fmt.Errorf("%w: %w", errInvalidAnswer, err)
 }
-
-// hasUnclearEnd reports whether a name in the head is followed by a space. net/http does not recognize it, so that a body with such a
-// length would be taken for one that ends with its connection.
-func hasUnclearEnd(p *http.Response) bool {
-	for name := range p.Header {
-		if strings.Contains(name, " ") {
-			return true
-		}
-	}
-	return false
-}
--- a/proxy/status_test.go
+++ b/proxy/status_test.go
@@ -107,8 +107,29 @@
 // statusLine matches the status line of a final answer as a caller may get it.
 var statusLine = regexp.MustCompile(`^HTTP/1\.1 [2-9][0-9]{2} `)
 
+// fieldLine matches a line of a head that is a field.
+var fieldLine = regexp.MustCompile("^[!#$%&'*+.^_`|~0-9A-Za-z-]+:")
+
+// lastHead returns the lines of the last head in data, without its status line.
+func lastHead(data []byte) []string {
+	for {
+		head, rest := []string(nil), strings.Split(string(data), "\n")
+		for i, line := range rest {
+			if line == "" || line == "\r" {
+				data = []byte(strings.Join(rest[i+1:], "\n"))
+				break
+			}
+			head = append(head, line)
+		}
+		_, status, _ := strings.Cut(head[0], " ")
+		if !strings.HasPrefix(strings.TrimLeft(status, " "), "1") {
+			return head[1:]
+		}
+	}
+}
+
 // Guards against bytes of a server that are taken for the head of an answer although callers may not have them as one: a status that is none,
-// an interim one that ends the answer, and a head that is longer than its limit.
+// an interim one that ends the answer, a line that is no field, and a head that is longer than its limit.
 func FuzzResponseHead(f *testing.F) {
 	const rest = "\r\nAttempt: me\r\nContent-Length: 0\r\n\r\n"
 	for _, status := range append(noStatuses, "100", "101", "199", "200", "204", "304", "599", "999") {
@@ -119,6 +140,11 @@
 	for _, x := range cutAnswers {
 		f.Add([]byte(x.text))
 	}
+	for _, line := range noFields {
+		f.Add([]byte("HTTP/1.1 200 OK\r\nAttempt: me\r\n" + line + rest[len("\r\nAttempt: me"):]))
+		f.Add([]byte("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\nHTTP/1.1 200" + rest))
+		f.Add([]byte("HTTP/1.1 200 OK\nAttempt: me\n" + line + "\n\n"))
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		c := &textConn{rest: data}
 		p, err := newServerConn(c, "server").readResponse(http.MethodGet)
@@ -143,5 +169,10 @@
 		if !strings.HasPrefix(p.Status, out.String()[len("HTTP/1.1 "):][:3]) {
 			t.Errorf("status %q is passed on as %q", p.Status, out.String())
 		}
+		for _, line := range lastHead(data) {
+			if !fieldLine.MatchString(line) {
+				t.Errorf("line %q is no field; the caller gets %q", line, out.String())
+			}
+		}
 	})
 }
