hconn: choose the part of a head by its place

Cause: HeadCheck.Next chose its step through a method value for each byte, and its places were not told apart in a comment. Change: a plain branch, and a comment on the order of the places. No behavior changes; the tests of hconn, hengin, proxy and sock pass.

--- a/hconn/head.go
+++ b/hconn/head.go
@@ -38,6 +38,7 @@
 	}
 )
 
+// The places up to the status come before afterStatus, those in the rest of the last head behind it.
 const (
 	beforeHead headPlace = iota
 	inVersion
@@ -53,17 +54,19 @@
 	afterHead
 )
 
-// Next reads the next bytes of the answers and returns an error that wraps ErrNoStatus or ErrNoField if they are none.
+// Next reads the next bytes of the answers and returns ErrNoStatus or ErrNoField at the first one that the protocol does not allow there.
 func (c *HeadCheck) Next(data []byte) error {
 	for _, b := range data {
 		if c.place == afterHead {
 			return nil
 		}
-		next := c.nextOfStatus
-		if c.place >= afterStatus {
-			next = c.nextOfFields
+		var err error
+		if c.place < afterStatus {
+			err = c.nextOfStatus(b)
+		} else {
+			err = c.nextOfFields(b)
 		}
-		if err := next(b); err != nil {
+		if err != nil {
 			return err
 		}
 	}
--- a/sock/end.go
+++ b/sock/end.go
@@ -12,7 +12,7 @@
 )
 
 // EndConn is a connection whose reads return io.EOF only after an orderly end. The kernel reports the failure of a connection once, to the
-// call that comes first; if that is a write, reads of the connection itself return what has arrived and then io.EOF.
+// call that comes first; if that is a write, reads of the connection below return what has arrived and then io.EOF.
 type EndConn struct {
 	net.Conn
 	// writing is held during a write.
