review: drop two cases that review/4 shows, and order the others

The case of replicas that start again under their ids becomes 11, and that of the changing query 12. Case 11 crashes five of ten replicas, one at a time, and has four gates. The rig gets a plain service.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -6,4 +6,4 @@
 trap 'rm -rf "$dir"' EXIT
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-target/rig3 -case batch -trouble=$trouble -record review/11/record.txt -dir "$dir"
+target/rig3 -case reborn -trouble=$trouble -record review/11/record.txt -dir "$dir"
--- a/review/rig3/query.go
+++ b/review/rig3/query.go
@@ -26,7 +26,7 @@
 		w.harmfulPath = harmfulPath
 	}
 	for i := range queryReplicas {
-		if _, err := w.add(fmt.Sprintf("r%d", i+1), 100, time.Hour); err != nil {
+		if _, err := w.add(writer, fmt.Sprintf("r%d", i+1), 100, time.Hour); err != nil {
 			return false, err
 		}
 	}
@@ -48,7 +48,7 @@
 	return w.lateRetries(), nil
 }
 
-// lateRetries checks the rule on requests that crash replicas: BUDGET, counted from contactTime after the third crash.
+// lateRetries checks BUDGET for a request that crashes replicas, counted from contactTime after the third crash.
 func (w *world) lateRetries() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/review/rig3/reborn.go
+++ b/review/rig3/reborn.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	rebornReplicas = 8
-	rebornCount    = 4
-	downTime       = 2 * time.Second
+	rebornReplicas = 10
+	rebornCount    = 5
+	// rebornVMs are fewer than those from which on one VM of a failure domain looks at servers for the others.
+	rebornVMs = 4
+	downTime  = 2 * time.Second
 	// lingerTime is how long a draining replica goes on; the pages say DrainMs and a little longer, at times many seconds.
 	lingerTime = 6 * time.Second
 	// dayGap and nightGap are the times between two requests of a VM; the release is played in the quiet hours.
@@ -27,13 +29,13 @@
 // reborn crashes replicas that start again under their ids, one after the other, and later drains them.
 func reborn(w *world, trouble bool) (bool, error) {
 	for i := range rebornReplicas {
-		if _, err := w.add(fmt.Sprintf("r%d", i+1), runSequence, 24*time.Hour); err != nil {
+		if _, err := w.add(writer, fmt.Sprintf("r%d", i+1), runSequence, 24*time.Hour); err != nil {
 			return false, err
 		}
 	}
 	// Streams that may not be resumed may run once.
 	w.store.Put("op/config", configuration(1, false))
-	if err := w.startVMs(w.program, w.template, gates); err != nil {
+	if err := w.startVMs(w.program, w.template, rebornVMs); err != nil {
 		return false, err
 	}
 	if err := w.awaitService(20 * time.Second); err != nil {
--- a/review/rig3/replica.go
+++ b/review/rig3/replica.go
@@ -3,6 +3,8 @@
 package main
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -18,6 +20,8 @@
 	// expiry is the time without a heartbeat after which the platform removes an entry: three ping intervals.
 	expiry   = 3 * heartbeat
 	loadTime = 300 * time.Millisecond
+	// callTime is the time of a call of the plain service.
+	callTime = 15 * time.Millisecond
 	// layers is the number of layers of the model; every replica has room for all of them.
 	layers    = 4
 	slots     = 192
@@ -26,10 +30,11 @@
 )
 
 type (
-	// replica is a model replica as PROTOCOL.md describes it.
+	// replica is a replica of a model, or of the plain service, as PROTOCOL.md describes it.
 	replica struct {
-		world *world
-		id    string
+		world   *world
+		id      string
+		service string
 		// address stays the same when the replica starts again under its id.
 		address string
 
@@ -40,10 +45,12 @@
 		from, to int
 		busy     bool
 		leaving  bool
-		up       bool
-		running  int
-		conns    map[net.Conn]bool
-		server   *http.Server
+		// limit is the Server-Limit that the replica names in its answers; a negative one is not named.
+		limit   float64
+		up      bool
+		running int
+		conns   map[net.Conn]bool
+		server  *http.Server
 		// ended is closed when this lifetime ends.
 		ended chan struct{}
 		// ackAt is when the store accepted that the replica is draining.
@@ -130,9 +137,12 @@
 		state = "draining"
 	}
 	e := map[string]any{
-		"Service": "writer", "Address": r.address, "Zone": zone, "Version": "v1", "Slots": slots, "State": state, "ColdLeftMs": 0,
-		"Sequence": r.sequence, "born": r.born, "RouteKind": "acc", "Phase": "combined",
-		"Models": []map[string]any{{"Name": "m", "Version": 1, "Adapters": []string{}}},
+		"Service": r.service, "Address": r.address, "Zone": zone, "Version": "v1", "Slots": slots, "State": state, "ColdLeftMs": 0,
+		"Sequence": r.sequence, "born": r.born,
+	}
+	if r.service != desk {
+		e["RouteKind"], e["Phase"] = "acc", "combined"
+		e["Models"] = []map[string]any{{"Name": "m", "Version": 1, "Adapters": []string{}}}
 	}
 	if r.to > r.from {
 		e["Layers"] = map[string]int{"Source": r.from, "To": r.to, "Version": 1}
@@ -203,6 +213,10 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	default:
+		if r.service == desk {
+			r.call(w, q, ended)
+			return
+		}
 		r.stream(w, q, ended)
 	}
 }
@@ -288,7 +302,7 @@
 }
 
 func (r *replica) stream(w http.ResponseWriter, q *http.Request, ended chan struct{}) {
-	harmful := r.world.harmful != "" && strings.Contains(q.Header.Get("X-Prefix-Hash"), r.world.harmful+":") || q.URL.Path == r.world.harmfulPath
+	harmful := q.URL.Path == r.world.harmfulPath
 	r.mu.Lock()
 	a := arrival{at: time.Now(), replica: r.id, born: r.born, attempt: q.Header.Get("X-Attempt-Id"), harmful: harmful}
 	r.mu.Unlock()
@@ -341,6 +355,35 @@
 	}
 }
 
+// call runs a call of the plain service; encodes says for which of its answers a replica in trouble encodes the body.
+func (r *replica) call(w http.ResponseWriter, q *http.Request, ended chan struct{}) {
+	a := arrival{at: time.Now(), replica: r.id, attempt: q.Header.Get("X-Attempt-Id")}
+	r.world.arrived(a)
+	if !r.pause(q, ended, callTime) {
+		panic(http.ErrAbortHandler)
+	}
+	r.world.ran(a)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("X-Replica-Stamp", "stamp-"+r.id)
+	body := []byte(answerTo(a.attempt))
+	if r.world.encodes != nil && r.world.encodes(r) {
+		var b bytes.Buffer
+		z := gzip.NewWriter(&b)
+		_, _ = z.Write(body)
+		_ = z.Close()
+		body = b.Bytes()
+		w.Header().Set("Content-Encoding", "gzip")
+		r.world.note("replica %s encodes its answer to %s", r.id, a.attempt)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body)
+}
+
+// answerTo is the body of the plain service's answer to an attempt.
+func answerTo(attempt string) string {
+	return fmt.Sprintf(`{"Order":%q,"State":"recorded","Lines":%q}`, attempt, strings.Repeat("foil ", 150))
+}
+
 // pause waits, and returns false if the caller has left or the replica has ended.
 func (r *replica) pause(q *http.Request, ended chan struct{}, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/review/rig3/world.go
+++ b/review/rig3/world.go
@@ -32,6 +32,11 @@
 	gates       = 3
 	sharedPart  = "5c1e:40"
 	soundPath   = "/draft/x"
+	// soundGap is the time between two sound requests of a VM.
+	soundGap    = 150 * time.Millisecond
+	soundEvents = 15
+	writer      = "writer"
+	desk        = "desk"
 )
 
 type (
@@ -40,12 +45,13 @@
 		dir      string
 		store    *plat.Store
 		storeURL string
-		// harmful is the part, and harmfulPath the path, of requests that crash replicas.
-		harmful     string
+		// harmfulPath is the path of requests that crash replicas, or empty.
 		harmfulPath string
-		began       time.Time
-		program     string
-		template    string
+		// encodes reports whether a replica of the plain service encodes its next answer; nil means never.
+		encodes  func(*replica) bool
+		began    time.Time
+		program  string
+		template string
 
 		mu       sync.Mutex
 		record   *bufio.Writer
@@ -74,6 +80,8 @@
 		status      int
 		events      int
 		whole       bool
+		body        []byte
+		header      http.Header
 		err         error
 		took        time.Duration
 	}
@@ -95,22 +103,29 @@
 	return w, nil
 }
 
-// configuration is a manifest with one model route, whose streams may be resumed or not.
+// configuration is a manifest with a model route, whose streams may be resumed or not, and a route for orders that may run once.
 func configuration(version int, resumable bool) map[string]any {
 	return map[string]any{
 		"Version": version,
-		"Routes": []map[string]any{{
-			"Name": "draft", "Host": "w.example", "Prefix": "/draft/", "RouteKind": "streaming", "TimeoutMs": 20000, "FullValueMs": 500,
-			"GapTargetMs": 200, "Priority": 1, "Service": "writer", "MaxAttempts": 2, "Resumable": resumable, "Sticky": true,
-		}},
-		"Services": []map[string]any{{
-			"Name": "writer", "HealthPath": "/healthz", "MaxConns": 1068, "Engine": map[string]any{
+		"Routes": []map[string]any{
+			{
+				"Name": "draft", "Host": "w.example", "Prefix": "/draft/", "RouteKind": "streaming", "TimeoutMs": 20000, "FullValueMs": 500,
+				"GapTargetMs": 200, "Priority": 1, "Service": writer, "MaxAttempts": 2, "Resumable": resumable, "Sticky": true,
+			},
+			{
+				"Name": "order", "Host": "w.example", "Prefix": "/order/", "RouteKind": "non_idempotent", "TimeoutMs": 1000, "FullValueMs": 100,
+				"Priority": 2, "Service": desk, "MaxAttempts": 1,
+			},
+		},
+		"Services": []map[string]any{
+			{"Name": writer, "HealthPath": "/healthz", "MaxConns": 1068, "Engine": map[string]any{
 				"Layers": layers, "LayerMb": 1750.0, "KvBytes": 918000.0, "ActivationBytes": 45900.0, "Stride": 3, "step_ms": 1.02,
 				"per_seq_ms": 0.00714, "read_per_s": 105000, "loads_at_once": 4, "report_lag_ms": 200, "chunk": 512,
 				"usual": map[string]int{"prompt": 800, "answer": 60}, "Models": []map[string]any{{"Name": "m", "LoadS": 1}},
 				"Kinds": []map[string]any{{"Name": "acc", "SizeMb": 200000, "pace": 2.4, "ReadFactor": 3.2}},
-			},
-		}},
+			}},
+			{"Name": desk, "HealthPath": "/healthz", "MaxConns": 100},
+		},
 		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 		"Tenants": []map[string]any{{"Name": "team", "ApiKeys": []string{key}}},
 	}
@@ -155,9 +170,9 @@
 	w.runs = append(w.runs, a)
 }
 
-// add starts a replica that has run for some time.
-func (w *world) add(id string, sequence uint64, age time.Duration) (*replica, error) {
-	r := &replica{world: w, id: id, address: "127.0.0.1:0"}
+// add starts a replica of a service that has run for some time.
+func (w *world) add(service, id string, sequence uint64, age time.Duration) (*replica, error) {
+	r := &replica{world: w, service: service, id: id, address: "127.0.0.1:0"}
 	if err := r.start(sequence, time.Now().Add(-age), 0); err != nil {
 		return nil, err
 	}
@@ -190,7 +205,7 @@
 		if closed {
 			return
 		}
-		if _, err := w.add(fmt.Sprintf("%s.%d", strings.SplitN(r.id, ".", 2)[0], n), 0, 0); err != nil {
+		if _, err := w.add(r.service, fmt.Sprintf("%s.%d", strings.SplitN(r.id, ".", 2)[0], n), 0, 0); err != nil {
 			w.note("%v", err)
 		}
 	})
@@ -331,7 +346,7 @@
 	q.Header.Set("X-Model-Name", "m")
 	q.Header.Set("X-Token-Counts", fmt.Sprintf("%d,%d", 400*(1+len(parts)), 3*n))
 	q.Header.Set("X-Prefix-Hash", strings.Join(append(parts, a.attempt+":400"), ","))
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 20 * time.Second}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: 20 * time.Second}
 	w.note("client sends %s to %s parts=%v", a.attempt, v.name, parts)
 	p, err := client.Do(q)
 	if err == nil {
@@ -339,6 +354,7 @@
 		var body []byte
 		body, err = io.ReadAll(p.Body)
 		_ = p.Body.Close()
+		a.body, a.header = body, p.Header
 		a.events = strings.Count(string(body), "\n\n")
 		a.whole = err == nil && (a.status != http.StatusOK || a.events == n)
 	}
