review: case 12, a piece of a stream that reaches the client twice

Claimed: an event whose number a replica in trouble has spoiled is delivered, and delivered once more from the run with which the gate then goes on (ORDER).

--- a/review/rig3/replica.go
+++ b/review/rig3/replica.go
@@ -7,6 +7,7 @@
 	"compress/gzip"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -342,8 +343,17 @@
 	w.Header().Set("X-Replica-Load", fmt.Sprintf("%d,0,%d", running, slots))
 	after, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	n, _ := strconv.Atoi(q.URL.Query().Get("n"))
+	spoiled := 0
+	if r.world.spoils != nil && n > after+2 && r.world.spoils(r) {
+		spoiled = after + 2 + rand.IntN(n-after-2)
+		r.world.note("replica %s spoils event %d of %s", r.id, spoiled, a.attempt)
+	}
 	for i := after + 1; i <= n; i++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", i, i); err != nil {
+		name := "id"
+		if i == spoiled {
+			name = "ix"
+		}
+		if _, err := fmt.Fprintf(w, "%s: %d\ndata: token %d\n\n", name, i, i); err != nil {
 			return
 		}
 		if f, ok := w.(http.Flusher); ok {
--- a/review/rig3/world.go
+++ b/review/rig3/world.go
@@ -48,7 +48,9 @@
 		// harmfulPath is the path of requests that crash replicas, or empty.
 		harmfulPath string
 		// encodes reports whether a replica of the plain service encodes its next answer; nil means never.
-		encodes  func(*replica) bool
+		encodes func(*replica) bool
+		// spoils reports whether a model replica writes one wrong byte into its next stream; nil means never.
+		spoils   func(*replica) bool
 		began    time.Time
 		program  string
 		template string
